--- a/src/adapters/api/api.cpp
+++ b/src/adapters/api/api.cpp
@@ -80,6 +80,10 @@
         return 200;
     case result_code::body_too_large:
         return 413;
+    case result_code::header_too_large:
+        return 431;
+    case result_code::request_timeout:
+        return 408;
     case result_code::no_such_path:
     case result_code::no_such_item:
         return 404;
--- a/src/adapters/http/message.hpp
+++ b/src/adapters/http/message.hpp
@@ -2,9 +2,13 @@
 /// @brief HTTP messages as the rest of the program sees them.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace hawthornrelay::adapters::http
 {
@@ -12,6 +16,9 @@
 /// @brief Header fields by lower-case name.
 using header_map = std::map<std::string, std::string, std::less<>>;
 
+/// @brief Header fields in the order and with the names that were received.
+using field_list = std::vector<std::pair<std::string, std::string>>;
+
 /// @brief One request.
 struct request
 {
@@ -19,6 +26,12 @@
     std::string target = "/"; ///< path and query
     header_map headers;
     std::string body;
+
+    // Set by the server only.
+    field_list fields;          ///< all header fields, unchanged
+    std::uint64_t exchange = 0; ///< number for server_handlers::on_caller_gone
+    bool is_first_on_connection = false;
+    std::chrono::microseconds round_trip{0}; ///< to the caller; 0: unknown
 };
 
 /// @brief One response.
@@ -26,8 +39,9 @@
 {
     unsigned status = 200;
     header_map headers;
-    std::string content_type = "application/json";
+    std::string content_type = "application/json"; ///< empty: none is sent
     std::string body;
+    field_list fields; ///< further header fields, sent as they are
 };
 
 /// @brief A header's value.
--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -6,7 +6,11 @@
 #include <set>
 #include <utility>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -36,6 +40,31 @@
     return result;
 }
 
+/// Time for a caller to close after a connection was ended by the server.
+constexpr std::chrono::milliseconds linger_time{1000};
+
+/// Bytes that are read ahead while a request waits for its response.
+constexpr std::size_t read_ahead_bytes = 64U << 10U;
+
+/// Size of one read.
+constexpr std::size_t read_bytes = 16U << 10U;
+
+/// Pause after a failed accept, when descriptors run out.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+/// The smoothed round trip that the kernel measured, zero if it tells none.
+std::chrono::microseconds round_trip_of(tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (getsockopt(
+            socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    {
+        return std::chrono::microseconds(0);
+    }
+    return std::chrono::microseconds(info.tcpi_rtt);
+}
+
 request to_request(bhttp::request<bhttp::string_body>&& message)
 {
     request result;
@@ -43,9 +72,9 @@
     result.target = std::string(message.target());
     for (const auto& field : message)
     {
-        result.headers[lower(
-            {field.name_string().data(), field.name_string().size()})] =
-            std::string(field.value());
+        const std::string name(field.name_string());
+        result.headers[lower(name)] = std::string(field.value());
+        result.fields.emplace_back(name, std::string(field.value()));
     }
     result.body = std::move(message.body());
     return result;
@@ -59,7 +88,8 @@
     beast_server(boost::asio::io_context& io,
                  server_handlers handlers,
                  server_limits limits)
-        : handlers(std::move(handlers)), limits(limits), io(io), acceptor(io)
+        : handlers(std::move(handlers)), limits(limits), io(io), acceptor(io),
+          retry(io)
     {
     }
 
@@ -83,6 +113,18 @@
 
     void accept();
     void close() override;
+    void close_idle() override;
+    [[nodiscard]] std::size_t busy() const override;
+
+    void set_limits(server_limits changed) override
+    {
+        this->limits = changed;
+    }
+
+    void drain() override
+    {
+        this->is_draining = true;
+    }
 
     [[nodiscard]] std::uint16_t port() const override
     {
@@ -97,17 +139,23 @@
     server_handlers handlers;
     server_limits limits;
     std::set<session*> sessions;
+    std::uint64_t next_exchange = 1;
+    bool is_draining = false;
 
   private:
     boost::asio::io_context& io;
     tcp::acceptor acceptor;
+    boost::asio::steady_timer retry;
 };
 
+/// One connection. A read is always pending, also while a request waits for
+/// its response, so that a caller that leaves is noticed.
 class session : public std::enable_shared_from_this<session>
 {
   public:
     session(tcp::socket socket, beast_server* owner)
-        : stream(std::move(socket)), owner(owner)
+        : socket(std::move(socket)), timer(this->socket.get_executor()),
+          owner(owner)
     {
         this->owner->sessions.insert(this);
     }
@@ -125,56 +173,124 @@
 
     void start()
     {
-        asio::disable_nagle(this->stream.socket());
+        asio::disable_nagle(this->socket);
         const auto delay = this->owner->handlers.accept_delay
                                ? this->owner->handlers.accept_delay()
                                : std::chrono::milliseconds(0);
         if (delay.count() == 0)
         {
-            this->read();
+            this->begin_request();
             return;
         }
-        auto timer = std::make_shared<boost::asio::steady_timer>(
-            this->stream.get_executor(), delay);
-        timer->async_wait(
-            [self = this->shared_from_this(),
-             timer](const boost::system::error_code&)
+        this->timer.expires_after(delay);
+        this->timer.async_wait(
+            [self = this->shared_from_this()](const beast::error_code& error)
             {
-                self->read();
+                if (!error)
+                {
+                    self->begin_request();
+                }
             });
     }
 
     void abandon()
     {
-        const auto self = std::exchange(this->self_reference, nullptr);
         this->owner = nullptr;
-        asio::close_quietly(this->stream.socket());
+        this->close();
+    }
+
+    [[nodiscard]] bool is_busy() const
+    {
+        return this->current != state::idle && this->current != state::closed;
+    }
+
+    void close()
+    {
+        this->current = state::closed;
+        this->timer.cancel();
+        asio::close_quietly(this->socket);
     }
 
   private:
-    void read()
+    enum class state
+    {
+        idle,      ///< no byte of a request yet
+        receiving, ///< part of a request is here
+        handling,  ///< the request waits for its response
+        writing,
+        lingering, ///< waits for the caller to close
+        closed,
+    };
+
+    void begin_request()
     {
         if (this->owner == nullptr)
         {
             return;
         }
+        this->current = state::idle;
         this->parser.emplace();
+        this->parser->eager(true);
         this->parser->body_limit(this->owner->limits.body_bytes);
         this->parser->header_limit(this->owner->limits.header_bytes);
-        this->stream.expires_after(this->owner->limits.idle);
-        bhttp::async_read(this->stream,
-                          this->buffer,
-                          *this->parser,
-                          [self = this->shared_from_this()](
-                              const beast::error_code& error, std::size_t)
-                          {
-                              self->on_read(error);
-                          });
+        this->expire_after(this->owner->limits.idle);
+        if (this->buffer.size() > 0)
+        {
+            this->parse();
+        }
+        else
+        {
+            this->read();
+        }
     }
 
-    void on_read(const beast::error_code& error)
+    void expire_after(std::chrono::milliseconds time)
     {
-        if (this->owner == nullptr)
+        this->timer.expires_after(time);
+        this->timer.async_wait(
+            [weak = this->weak_from_this()](const beast::error_code& error)
+            {
+                const auto self = weak.lock();
+                if (!error && self)
+                {
+                    self->on_expired();
+                }
+            });
+    }
+
+    void on_expired()
+    {
+        if (this->current == state::receiving)
+        {
+            this->refuse(result_code::request_timeout,
+                         "the request did not arrive in time");
+        }
+        else if (this->current != state::handling)
+        {
+            this->close();
+        }
+    }
+
+    void read()
+    {
+        if (this->is_reading || this->current == state::closed)
+        {
+            return;
+        }
+        this->is_reading = true;
+        this->socket.async_read_some(
+            this->buffer.prepare(read_bytes),
+            [self = this->shared_from_this()](const beast::error_code& error,
+                                              std::size_t count)
+            {
+                self->is_reading = false;
+                self->on_read(error, count);
+            });
+    }
+
+    void on_read(const beast::error_code& error, std::size_t count)
+    {
+        if (this->current == state::closed)
         {
             return;
         }
@@ -183,92 +299,231 @@
             this->on_read_error(error);
             return;
         }
-        this->stream.expires_never();
+        if (this->current == state::lingering)
+        {
+            this->read();
+            return;
+        }
+        this->buffer.commit(count);
+        if (this->current == state::idle || this->current == state::receiving)
+        {
+            this->parse();
+        }
+        else if (this->buffer.size() < read_ahead_bytes)
+        {
+            this->read();
+        }
+    }
+
+    void on_read_error(const beast::error_code& error)
+    {
+        const bool is_waiting = this->current == state::handling;
+        // A caller that half-closes its idle connection is done.
+        if (this->current == state::writing && error == boost::asio::error::eof)
+        {
+            this->keep_alive = false;
+            return;
+        }
+        this->close();
+        if (is_waiting && this->owner != nullptr &&
+            this->owner->handlers.on_caller_gone)
+        {
+            this->owner->handlers.on_caller_gone(this->exchange);
+        }
+    }
+
+    void parse()
+    {
+        if (this->current == state::idle)
+        {
+            this->current = state::receiving;
+            this->expire_after(this->owner->limits.header);
+        }
+        beast::error_code error;
+        while (!this->parser->is_done() && this->buffer.size() > 0)
+        {
+            const auto used = this->parser->put(this->buffer.data(), error);
+            this->buffer.consume(used);
+            if (error || used == 0)
+            {
+                break;
+            }
+        }
+        if (error == bhttp::error::need_more)
+        {
+            error = {};
+        }
+        if (error)
+        {
+            this->on_parse_error(error);
+        }
+        else if (this->parser->is_done())
+        {
+            this->handle();
+        }
+        else
+        {
+            if (this->parser->is_header_done())
+            {
+                this->expire_after(this->owner->limits.idle);
+                this->send_continue();
+            }
+            this->read();
+        }
+    }
+
+    /// Asks for the body of a caller that waits for it.
+    void send_continue()
+    {
+        const auto& message = this->parser->get();
+        const bool is_asked = !this->is_continued &&
+                              message[bhttp::field::expect] == "100-continue";
+        if (!is_asked)
+        {
+            return;
+        }
+        this->is_continued = true;
+        static constexpr std::string_view text =
+            "HTTP/1.1 100 Continue\r\n\r\n";
+        boost::asio::async_write(
+            this->socket,
+            boost::asio::buffer(text),
+            [self = this->shared_from_this()](const beast::error_code&,
+                                              std::size_t)
+            {
+                // A failure shows at the next read.
+            });
+    }
+
+    void handle()
+    {
+        this->timer.cancel();
+        this->current = state::handling;
         auto message = this->parser->release();
         this->keep_alive = message.keep_alive();
         this->version = message.version();
-        // A responder that is still pending keeps the session alive.
-        this->self_reference = this->shared_from_this();
+        this->exchange = this->owner->next_exchange++;
+        auto incoming = to_request(std::move(message));
+        incoming.exchange = this->exchange;
+        incoming.is_first_on_connection = this->requests++ == 0;
+        incoming.round_trip = round_trip_of(this->socket);
+        this->is_continued = false;
+        this->read();
         this->owner->handlers.on_request(
-            to_request(std::move(message)),
-            [weak = this->weak_from_this()](response reply)
+            std::move(incoming),
+            [self = this->shared_from_this(),
+             exchange = this->exchange](response reply)
             {
-                if (auto self = weak.lock())
+                if (self->current == state::handling &&
+                    self->exchange == exchange)
                 {
                     self->write(std::move(reply));
                 }
             });
     }
 
-    void on_read_error(const beast::error_code& error)
+    void on_parse_error(const beast::error_code& error)
+    {
+        const auto code = error == bhttp::error::body_limit
+                              ? result_code::body_too_large
+                          : error == bhttp::error::header_limit
+                              ? result_code::header_too_large
+                              : result_code::malformed_request;
+        this->refuse(code, error.message());
+    }
+
+    void refuse(result_code code, const std::string& detail)
     {
-        const bool is_too_large = error == bhttp::error::body_limit ||
-                                  error == bhttp::error::header_limit;
-        const bool is_malformed =
-            error.category() ==
-                bhttp::make_error_code(bhttp::error::bad_method).category() &&
-            error != bhttp::error::end_of_stream &&
-            error != bhttp::error::partial_message;
-        if (!is_malformed || !this->owner->handlers.on_bad_input)
+        this->keep_alive = false;
+        if (!this->owner->handlers.on_bad_input)
         {
+            this->close();
             return;
         }
-        this->keep_alive = false;
-        this->write(this->owner->handlers.on_bad_input(
-            is_too_large ? result_code::body_too_large
-                         : result_code::malformed_request,
-            error.message()));
+        this->write(this->owner->handlers.on_bad_input(code, detail));
     }
 
     void write(response reply)
     {
         if (reply.status == 0)
         {
-            this->self_reference.reset();
-            asio::close_quietly(this->stream.socket());
+            this->close();
             return;
         }
+        this->current = state::writing;
         auto message = std::make_shared<bhttp::response<bhttp::string_body>>();
         message->version(this->version);
         message->result(reply.status);
-        message->set(bhttp::field::content_type, reply.content_type);
+        if (!reply.content_type.empty())
+        {
+            message->set(bhttp::field::content_type, reply.content_type);
+        }
         for (const auto& [name, value] : reply.headers)
         {
             message->set(name, value);
         }
+        for (const auto& [name, value] : reply.fields)
+        {
+            message->insert(name, value);
+        }
+        if (this->owner == nullptr || this->owner->is_draining)
+        {
+            this->keep_alive = false;
+        }
         message->keep_alive(this->keep_alive);
         message->body() = std::move(reply.body);
         message->prepare_payload();
         if (this->owner != nullptr)
         {
-            this->stream.expires_after(this->owner->limits.idle);
+            this->expire_after(this->owner->limits.idle);
         }
-        bhttp::async_write(this->stream,
+        bhttp::async_write(this->socket,
                            *message,
                            [self = this->shared_from_this(), message](
                                const beast::error_code& error, std::size_t)
                            {
-                               self->self_reference.reset();
-                               if (!error && self->keep_alive)
-                               {
-                                   self->read();
-                               }
-                               else
-                               {
-                                   boost::system::error_code ignored;
-                                   self->stream.socket().shutdown(
-                                       tcp::socket::shutdown_send, ignored);
-                               }
+                               self->on_written(error);
                            });
     }
 
-    beast::tcp_stream stream;
+    void on_written(const beast::error_code& error)
+    {
+        if (this->current == state::closed)
+        {
+            return;
+        }
+        if (error)
+        {
+            this->close();
+            return;
+        }
+        if (this->keep_alive && this->owner != nullptr)
+        {
+            this->begin_request();
+            return;
+        }
+        // Closing with unread bytes would reset the connection and lose the
+        // response, so the caller closes first.
+        this->current = state::lingering;
+        boost::system::error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        this->expire_after(linger_time);
+        this->buffer.consume(this->buffer.size());
+        this->read();
+    }
+
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
     beast::flat_buffer buffer;
     std::optional<bhttp::request_parser<bhttp::string_body>> parser;
     beast_server* owner;
+    state current = state::idle;
+    std::uint64_t exchange = 0;
+    std::uint64_t requests = 0;
+    bool is_reading = false;
+    bool is_continued = false;
     bool keep_alive = true;
     unsigned version = 11;
-    std::shared_ptr<session> self_reference;
 };
 
 void beast_server::accept()
@@ -276,11 +531,25 @@
     this->acceptor.async_accept(
         [this](const boost::system::error_code& error, tcp::socket socket)
         {
-            if (error == boost::asio::error::operation_aborted)
+            if (error == boost::asio::error::operation_aborted ||
+                !this->acceptor.is_open())
+            {
+                return;
+            }
+            if (error)
             {
+                this->retry.expires_after(accept_pause);
+                this->retry.async_wait(
+                    [this](const boost::system::error_code& stopped)
+                    {
+                        if (!stopped)
+                        {
+                            this->accept();
+                        }
+                    });
                 return;
             }
-            if (!error && this->sessions.size() < this->limits.connections)
+            if (this->sessions.size() < this->limits.connections)
             {
                 std::make_shared<session>(std::move(socket), this)->start();
             }
@@ -288,10 +557,36 @@
         });
 }
 
+std::size_t beast_server::busy() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->sessions.begin(),
+                      this->sessions.end(),
+                      [](const session* item)
+                      {
+                          return item->is_busy();
+                      }));
+}
+
+void beast_server::close_idle()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    const auto open = this->sessions;
+    for (auto* item : open)
+    {
+        if (!item->is_busy())
+        {
+            item->close();
+        }
+    }
+}
+
 void beast_server::close()
 {
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
+    this->retry.cancel();
     const auto open = std::exchange(this->sessions, {});
     for (auto* item : open)
     {
--- a/src/adapters/http/server.hpp
+++ b/src/adapters/http/server.hpp
@@ -23,6 +23,8 @@
     std::uint32_t header_bytes = 16U << 10U;
     std::size_t connections = 4096;
     std::chrono::milliseconds idle{60'000};
+    /// From a request's first byte to the end of its header.
+    std::chrono::milliseconds header{10'000};
 };
 
 /// @brief Sends the response of one request; called at most once. A status of
@@ -39,6 +41,9 @@
         on_bad_input;
     /// Called before each accepted connection is read; may delay it.
     std::function<std::chrono::milliseconds()> accept_delay;
+    /// Tells that the caller of a request closed its connection before the
+    /// response; the responder does nothing then.
+    std::function<void(std::uint64_t exchange)> on_caller_gone;
 };
 
 /// @brief Accepts connections and serves one request at a time on each.
@@ -69,6 +74,18 @@
     /// @brief Open connections.
     [[nodiscard]] virtual std::size_t connections() const = 0;
 
+    /// @brief Changes the bounds for later requests.
+    virtual void set_limits(server_limits limits) = 0;
+
+    /// @brief Lets each connection end with its next response.
+    virtual void drain() = 0;
+
+    /// @brief Closes the listener and connections that carry no request.
+    virtual void close_idle() = 0;
+
+    /// @brief Requests that wait for their response or are being received.
+    [[nodiscard]] virtual std::size_t busy() const = 0;
+
     /// @brief Closes the listener and every connection.
     virtual void close() = 0;
 
--- a/src/adapters/log/stderr_log.cpp
+++ b/src/adapters/log/stdout_log.cpp
@@ -1,9 +1,8 @@
-#include <adapters/log/stderr_log.hpp>
+#include <adapters/log/stdout_log.hpp>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <cstdio>
 #include <string_view>
 #include <utility>
 
@@ -46,14 +45,14 @@
 
 } // namespace
 
-stderr_log::stderr_log(std::string node,
+stdout_log::stdout_log(std::string node,
                        log_level least,
                        std::uint32_t decision_sample)
     : node(std::move(node)), least(least), decision_sample(decision_sample)
 {
 }
 
-bool stderr_log::wants(log_event event)
+bool stdout_log::wants(log_event event)
 {
     const auto level = core::base::level_of(event);
     if (level < this->least)
@@ -68,7 +67,7 @@
     return this->decisions == 0;
 }
 
-void stderr_log::write(log_event event,
+void stdout_log::write(log_event event,
                        std::initializer_list<ports::log_field> fields)
 {
     const auto level = core::base::level_of(event);
@@ -93,7 +92,7 @@
     {
         line += fmt::format(" {}={}", field.name, quoted(field.value));
     }
-    fmt::print(stderr, "{}\n", line);
+    this->sink.write(line);
 }
 
 } // namespace hawthornrelay::adapters::log
--- /dev/null
+++ b/src/adapters/relay/beacon.cpp
@@ -0,0 +1,135 @@
+#include <adapters/relay/beacon.hpp>
+
+#include <utility>
+
+#include <schemas/generated/relay_generated.h>
+
+#include <adapters/asio/listener.hpp>
+
+namespace hawthornrelay::adapters::relay
+{
+
+using boost::asio::ip::udp;
+using core::base::fail;
+using core::base::result_code;
+
+namespace
+{
+
+std::string text(const flatbuffers::String* from)
+{
+    return from == nullptr ? std::string() : from->str();
+}
+
+core::base::result<udp::endpoint> parse(const std::string& address)
+{
+    return asio::parse_endpoint(address).map(
+        [](const boost::asio::ip::tcp::endpoint& found)
+        {
+            return udp::endpoint(found.address(), found.port());
+        });
+}
+
+} // namespace
+
+beacon::beacon(boost::asio::io_context& io, handler on_heard)
+    : socket(io), on_heard(std::move(on_heard))
+{
+}
+
+core::base::result<void> beacon::open(const std::string& address)
+{
+    const auto endpoint = parse(address);
+    if (!endpoint)
+    {
+        return tl::unexpected(endpoint.error());
+    }
+    boost::system::error_code error;
+    this->socket.open(endpoint->protocol(), error);
+    if (!error)
+    {
+        this->socket.bind(*endpoint, error);
+    }
+    if (!error)
+    {
+        this->socket.non_blocking(true, error);
+    }
+    if (error)
+    {
+        return fail(result_code::connect_failed,
+                    address + ": " + error.message());
+    }
+    this->receive();
+    return {};
+}
+
+void beacon::send(const std::string& to, const core::relay::node_record& self)
+{
+    const auto endpoint = parse(to);
+    if (!endpoint)
+    {
+        return;
+    }
+    flatbuffers::FlatBufferBuilder builder(256);
+    builder.Finish(schemas::CreateBeaconDirect(builder,
+                                               self.name.c_str(),
+                                               self.run,
+                                               self.zone.c_str(),
+                                               self.callers.c_str(),
+                                               self.peers.c_str(),
+                                               self.is_stopping));
+    boost::system::error_code ignored;
+    this->socket.send_to(
+        boost::asio::buffer(builder.GetBufferPointer(), builder.GetSize()),
+        *endpoint,
+        0,
+        ignored);
+}
+
+void beacon::receive()
+{
+    this->socket.async_receive_from(
+        boost::asio::buffer(this->datagram),
+        this->sender,
+        [this](const boost::system::error_code& error, std::size_t size)
+        {
+            if (error == boost::asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                this->on_datagram(size);
+            }
+            this->receive();
+        });
+}
+
+void beacon::on_datagram(std::size_t size)
+{
+    flatbuffers::Verifier verifier(this->datagram.data(), size);
+    if (!schemas::VerifyBeaconBuffer(verifier))
+    {
+        return;
+    }
+    const auto* message = schemas::GetBeacon(this->datagram.data());
+    core::relay::node_record record;
+    record.name = text(message->node());
+    record.run = message->run();
+    record.zone = text(message->zone());
+    record.callers = text(message->callers());
+    record.peers = text(message->peers());
+    record.is_stopping = message->stopping();
+    if (!record.name.empty())
+    {
+        this->on_heard(record);
+    }
+}
+
+void beacon::close()
+{
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+} // namespace hawthornrelay::adapters::relay
--- /dev/null
+++ b/src/adapters/relay/relay_node.cpp
@@ -0,0 +1,727 @@
+#include <adapters/relay/relay_node.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include <boost/json.hpp>
+
+#include <adapters/asio/asio_runtime.hpp>
+#include <adapters/http/server.hpp>
+#include <adapters/log/stdout_log.hpp>
+#include <adapters/relay/beacon.hpp>
+#include <adapters/relay/metrics_page.hpp>
+#include <adapters/relay/replica_pool.hpp>
+#include <core/relay/node_directory.hpp>
+#include <core/relay/request_engine.hpp>
+#include <core/relay/store_follower.hpp>
+#include <platform/caller_wire.hpp>
+#include <platform/decode.hpp>
+#include <platform/names.hpp>
+#include <platform/store_client.hpp>
+
+namespace hawthornrelay::adapters::relay
+{
+
+namespace json = boost::json;
+namespace names = platform::names;
+using core::base::log_event;
+using core::base::result;
+using core::base::result_code;
+using core::relay::node_record;
+using core::relay::relay_counter;
+using core::relay::relay_settings;
+
+namespace
+{
+
+/// Interval of the messages between nodes; three may be lost before a node is
+/// taken for silent.
+constexpr std::chrono::milliseconds beacon_interval{200};
+
+/// Interval of keeping connections open and checking suspect replicas.
+constexpr std::chrono::milliseconds upkeep_interval{250};
+
+/// How long callers keep an answer of the directory.
+constexpr std::chrono::seconds address_ttl{1};
+
+/// Part of the time between SIGTERM and SIGKILL after which idle connections
+/// are closed, and after which the process ends whatever is open.
+constexpr double close_idle_after = 0.7;
+constexpr double end_after = 0.93;
+
+/// Interval of checking whether a stopping process has finished.
+constexpr std::chrono::milliseconds stop_check{50};
+
+std::uint64_t new_run()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+}
+
+std::string write_node_entry(const node_record& self)
+{
+    return json::serialize(json::object{{"run", self.run},
+                                        {"zone", self.zone},
+                                        {"callers", self.callers},
+                                        {"peers", self.peers}});
+}
+
+result<node_record> read_node_entry(std::string name, const std::string& value)
+{
+    json::error_code error;
+    const auto parsed = json::parse(value, error);
+    try
+    {
+        const auto& from = parsed.as_object();
+        node_record record;
+        record.name = std::move(name);
+        record.run = from.at("run").to_number<std::uint64_t>();
+        record.zone = from.at("zone").as_string();
+        record.callers = from.at("callers").as_string();
+        record.peers = from.at("peers").as_string();
+        return record;
+    }
+    catch (const std::exception& fault)
+    {
+        return core::base::fail(result_code::invalid_value, fault.what());
+    }
+}
+
+core::relay::engine_settings engine_settings_of(const relay_settings& from)
+{
+    core::relay::engine_settings result;
+    result.zone = from.zone;
+    result.extras.ratio = from.extra_ratio;
+    result.extras.slack = from.extra_slack;
+    result.extras.window = from.extra_window;
+    result.knows_extra_history = from.is_first_start;
+    result.cold_overshoot = from.cold_overshoot;
+    result.cold_slack = from.cold_slack;
+    return result;
+}
+
+node_record self_of(const relay_settings& from)
+{
+    node_record record;
+    record.name = from.node_name;
+    record.run = new_run();
+    record.zone = from.zone;
+    record.callers = from.callers.text();
+    record.peers = from.peers.text();
+    return record;
+}
+
+/// The rest of a key after a prefix, or nothing.
+std::optional<std::string> after_prefix(const std::string& key,
+                                        std::string_view prefix)
+{
+    if (!key.starts_with(prefix))
+    {
+        return std::nullopt;
+    }
+    return key.substr(prefix.size());
+}
+
+class node final : public relay_node
+{
+  public:
+    node(boost::asio::io_context& io, relay_settings from)
+        : settings(std::move(from)), io(io), runtime(io),
+          log(this->settings.node_name, core::base::log_level::info, 1),
+          pool(io, this->counters_of_pool),
+          engine(engine_settings_of(this->settings),
+                 this->runtime,
+                 this->pool,
+                 this->log),
+          store(io,
+                this->settings.store.text(),
+                [this]
+                {
+                    this->engine.counters.add(relay_counter::store_calls);
+                }),
+          nodes(self_of(this->settings)),
+          peers(io,
+                [this](const node_record& record)
+                {
+                    this->on_heard(record);
+                }),
+          follower(this->runtime,
+                   this->store,
+                   this->store_handlers(),
+                   std::string(names::node_prefix) + this->settings.node_name,
+                   write_node_entry(this->nodes.self()),
+                   this->settings.shortest_lease)
+    {
+    }
+
+    result<void> start() override
+    {
+        const auto opened = this->open_listeners();
+        if (!opened)
+        {
+            return opened;
+        }
+        this->log.write(
+            log_event::relay_started,
+            {{"zone", this->settings.zone},
+             {"callers", this->settings.callers.text()},
+             {"run", std::to_string(this->nodes.self().run)},
+             {"first_start", this->settings.is_first_start ? "1" : "0"}});
+        this->follower.start();
+        this->tell_others();
+        this->upkeep();
+        return {};
+    }
+
+    void reload(const relay_settings& changed) override;
+    void stop(std::function<void()> done) override;
+
+  private:
+    result<void> open_listeners();
+    result<std::unique_ptr<http::server>>
+    open(const core::relay::socket_address& address,
+         http::server_handlers handlers);
+    core::relay::store_events store_handlers();
+    void on_item(const ports::store_item& item, bool may_have_lapsed);
+    void on_configuration(const ports::store_item& item);
+    void on_replica(const std::string& id,
+                    const ports::store_item& item,
+                    bool may_have_lapsed);
+    void on_node(const std::string& name, const ports::store_item& item);
+    void on_listing(const std::set<std::string>& keys, bool may_have_lapsed);
+    void on_heard(const node_record& record);
+    void share_bounds();
+    void tell_others();
+    void upkeep();
+    void serve_caller(http::request message, const http::responder& respond);
+    void serve_directory(const http::request& message,
+                         const http::responder& respond);
+    void serve_readiness(const http::responder& respond);
+    [[nodiscard]] bool is_ready() const;
+    void wait_for_end(core::base::time_point close_at,
+                      core::base::time_point end_at,
+                      const std::function<void()>& done);
+
+    relay_settings settings;
+    boost::asio::io_context& io;
+    asio::asio_runtime runtime;
+    log::stdout_log log;
+    core::relay::relay_counters counters_of_pool;
+    replica_pool pool;
+    core::relay::request_engine engine;
+    platform::store_client store;
+    core::relay::node_directory nodes;
+    beacon peers;
+    core::relay::store_follower follower;
+    std::unique_ptr<http::server> callers;
+    std::unique_ptr<http::server> readiness;
+    std::unique_ptr<http::server> directory;
+    std::unique_ptr<http::server> metrics;
+    std::map<std::uint64_t, std::uint64_t> runs_by_exchange;
+    std::set<std::string> suspects;
+    bool is_stopping = false;
+    bool is_upkeep_pending = false;
+    bool is_idle_closed = false;
+};
+
+result<std::unique_ptr<http::server>>
+node::open(const core::relay::socket_address& address,
+           http::server_handlers handlers)
+{
+    handlers.on_bad_input = [this](result_code code, const std::string& detail)
+    {
+        this->log.write(log_event::bad_input,
+                        {{"code", std::string(core::base::name_of(code))},
+                         {"error", detail}});
+        return platform::write_bad_input(code, detail);
+    };
+    return http::server::listen(
+        this->io, address.ip, address.port, std::move(handlers), {});
+}
+
+result<void> node::open_listeners()
+{
+    http::server_handlers for_callers;
+    for_callers.on_request =
+        [this](http::request message, const http::responder& respond)
+    {
+        this->serve_caller(std::move(message), respond);
+    };
+    for_callers.on_caller_gone = [this](std::uint64_t exchange)
+    {
+        const auto found = this->runs_by_exchange.find(exchange);
+        if (found != this->runs_by_exchange.end())
+        {
+            const auto run = found->second;
+            this->runs_by_exchange.erase(found);
+            this->engine.on_caller_gone(run);
+        }
+    };
+    http::server_handlers for_readiness;
+    for_readiness.on_request =
+        [this](const http::request&, const http::responder& respond)
+    {
+        this->serve_readiness(respond);
+    };
+    http::server_handlers for_directory;
+    for_directory.on_request =
+        [this](const http::request& message, const http::responder& respond)
+    {
+        this->serve_directory(message, respond);
+    };
+    http::server_handlers for_metrics;
+    for_metrics.on_request =
+        [this](const http::request&, const http::responder& respond)
+    {
+        http::response reply;
+        reply.content_type = "text/plain; version=0.0.4";
+        reply.body = write_metrics(this->engine.counters,
+                                   this->counters_of_pool,
+                                   this->engine.active(),
+                                   this->log.dropped());
+        respond(std::move(reply));
+    };
+    const auto opened_peers = this->peers.open(this->settings.peers.text());
+    if (!opened_peers)
+    {
+        return opened_peers;
+    }
+    const auto keep = [](std::unique_ptr<http::server>& place)
+    {
+        return [&place](std::unique_ptr<http::server> opened)
+        {
+            place = std::move(opened);
+        };
+    };
+    return this->open(this->settings.metrics, std::move(for_metrics))
+        .map(keep(this->metrics))
+        .and_then(
+            [&]
+            {
+                return this->open(this->settings.readiness,
+                                  std::move(for_readiness))
+                    .map(keep(this->readiness));
+            })
+        .and_then(
+            [&]
+            {
+                return this->open(this->settings.directory,
+                                  std::move(for_directory))
+                    .map(keep(this->directory));
+            })
+        .and_then(
+            [&]
+            {
+                return this->open(this->settings.callers,
+                                  std::move(for_callers))
+                    .map(keep(this->callers));
+            });
+}
+
+core::relay::store_events node::store_handlers()
+{
+    core::relay::store_events events;
+    events.on_item =
+        [this](const ports::store_item& item, bool may_have_lapsed)
+    {
+        this->on_item(item, may_have_lapsed);
+    };
+    events.on_listing =
+        [this](const std::set<std::string>& keys, bool may_have_lapsed)
+    {
+        this->on_listing(keys, may_have_lapsed);
+    };
+    events.on_listed = [this]
+    {
+        this->upkeep();
+    };
+    events.on_reach = [this](bool is_reachable, const std::string& reason)
+    {
+        if (is_reachable)
+        {
+            this->log.write(log_event::store_regained, {});
+            return;
+        }
+        this->engine.counters.add(relay_counter::store_failures);
+        this->log.write(log_event::store_lost, {{"reason", reason}});
+    };
+    return events;
+}
+
+void node::on_item(const ports::store_item& item, bool may_have_lapsed)
+{
+    if (item.key == names::configuration_key)
+    {
+        this->on_configuration(item);
+    }
+    else if (const auto zone = after_prefix(item.key, names::zone_out_prefix))
+    {
+        this->engine.registry.set_zone_out(*zone, !item.is_removed);
+        this->log.write(item.is_removed ? log_event::zone_back
+                                        : log_event::zone_out,
+                        {{"zone", *zone},
+                         {"revision", std::to_string(item.revision)}});
+    }
+    else if (const auto id = after_prefix(item.key, names::replica_prefix))
+    {
+        this->on_replica(*id, item, may_have_lapsed);
+    }
+    else if (const auto name = after_prefix(item.key, names::node_prefix))
+    {
+        this->on_node(*name, item);
+    }
+}
+
+void node::on_configuration(const ports::store_item& item)
+{
+    if (item.is_removed)
+    {
+        return;
+    }
+    auto decoded = platform::decode_configuration(item.value);
+    if (!decoded)
+    {
+        this->log.write(log_event::configuration_unreadable,
+                        {{"revision", std::to_string(item.revision)},
+                         {"error", decoded.error().detail}});
+        return;
+    }
+    const auto& current = this->engine.configuration_in_force();
+    if (current != nullptr && decoded->version <= current->version)
+    {
+        return;
+    }
+    const auto config = std::make_shared<const core::relay::configuration>(
+        std::move(*decoded));
+    this->engine.set_configuration(config);
+    http::server_limits limits;
+    limits.body_bytes = config->limits.body_bytes;
+    limits.header_bytes =
+        static_cast<std::uint32_t>(config->limits.header_bytes);
+    limits.idle = config->limits.idle_timeout;
+    limits.header = config->limits.header_timeout;
+    this->callers->set_limits(limits);
+    this->share_bounds();
+    this->log.write(log_event::configuration_in_force,
+                    {{"version", std::to_string(config->version)},
+                     {"revision", std::to_string(item.revision)},
+                     {"routes", std::to_string(config->routes.size())}});
+}
+
+void node::on_replica(const std::string& id,
+                      const ports::store_item& item,
+                      bool may_have_lapsed)
+{
+    const auto now = this->runtime.now();
+    if (item.is_removed)
+    {
+        if (this->engine.registry.remove(id, may_have_lapsed, now))
+        {
+            this->log.write(may_have_lapsed ? log_event::replica_lapsing
+                                            : log_event::replica_removed,
+                            {{"replica", id},
+                             {"revision", std::to_string(item.revision)}});
+        }
+        return;
+    }
+    const auto record = platform::decode_replica(id, item.value);
+    if (!record)
+    {
+        this->engine.registry.put_unreadable(id, now);
+        this->log.write(log_event::replica_unreadable,
+                        {{"replica", id}, {"error", record.error().detail}});
+        return;
+    }
+    if (this->engine.registry.put(*record, now))
+    {
+        this->log.write(log_event::replica_listed,
+                        {{"replica", id},
+                         {"service", record->service},
+                         {"address", record->address},
+                         {"state", record->is_draining ? "draining" : "ready"},
+                         {"revision", std::to_string(item.revision)}});
+    }
+}
+
+void node::on_node(const std::string& name, const ports::store_item& item)
+{
+    const auto now = this->runtime.now();
+    if (item.is_removed)
+    {
+        this->nodes.on_unlisted(name, now);
+        this->log.write(log_event::node_unlisted, {{"peer", name}});
+    }
+    else
+    {
+        const auto record = read_node_entry(name, item.value);
+        if (!record)
+        {
+            this->log.write(
+                log_event::bad_input,
+                {{"key", item.key}, {"error", record.error().detail}});
+            return;
+        }
+        this->nodes.on_listed(*record, now);
+        this->log.write(log_event::node_listed,
+                        {{"peer", name}, {"callers", record->callers}});
+    }
+    this->share_bounds();
+}
+
+void node::on_listing(const std::set<std::string>& keys, bool may_have_lapsed)
+{
+    const auto now = this->runtime.now();
+    std::vector<std::string> gone;
+    for (const auto& [id, known] : this->engine.registry.all())
+    {
+        if (!keys.contains(std::string(names::replica_prefix) + id))
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone)
+    {
+        this->engine.registry.remove(id, may_have_lapsed, now);
+        this->log.write(log_event::replica_removed,
+                        {{"replica", id}, {"reason", "not listed"}});
+    }
+    const auto zones = this->engine.registry.zones_out();
+    for (const auto& zone : zones)
+    {
+        if (!keys.contains(std::string(names::zone_out_prefix) + zone))
+        {
+            this->engine.registry.set_zone_out(zone, false);
+            this->log.write(log_event::zone_back, {{"zone", zone}});
+        }
+    }
+    for (const auto& other : this->nodes.others())
+    {
+        if (!keys.contains(std::string(names::node_prefix) + other.name))
+        {
+            this->nodes.on_unlisted(other.name, now);
+        }
+    }
+}
+
+void node::on_heard(const node_record& record)
+{
+    if (this->nodes.on_heard(record, this->runtime.now()))
+    {
+        this->log.write(log_event::node_heard, {{"peer", record.name}});
+    }
+}
+
+void node::share_bounds()
+{
+    const auto count = this->nodes.count(this->runtime.now());
+    this->engine.set_node_count(count);
+    this->pool.set_bounds(this->engine.configuration_in_force(), count);
+}
+
+void node::tell_others()
+{
+    for (const auto& other : this->nodes.others())
+    {
+        this->peers.send(other.peers, this->nodes.self());
+    }
+    this->runtime.call_after(beacon_interval,
+                             [this]
+                             {
+                                 this->tell_others();
+                             });
+}
+
+void node::upkeep()
+{
+    const auto now = this->runtime.now();
+    for (const auto& id : this->engine.registry.expire(now))
+    {
+        this->log.write(log_event::replica_removed,
+                        {{"replica", id}, {"reason", "lapsed"}});
+    }
+    this->pool.drop_removed();
+    this->share_bounds();
+    const auto& config = this->engine.configuration_in_force();
+    for (const auto& [id, target] : this->engine.registry.all())
+    {
+        const bool is_in_use =
+            config != nullptr &&
+            config->services.contains(target->record.service) &&
+            !target->record.is_draining;
+        if (!is_in_use)
+        {
+            continue;
+        }
+        if (!target->health.is_suspect())
+        {
+            this->suspects.erase(id);
+            this->pool.keep_warm(target);
+            continue;
+        }
+        if (this->suspects.insert(id).second)
+        {
+            this->log.write(log_event::replica_suspect,
+                            {{"replica", id},
+                             {"service", target->record.service}});
+        }
+        this->pool.probe(target,
+                         [this, target](bool is_healthy)
+                         {
+                             if (is_healthy)
+                             {
+                                 target->health.on_probe_ok();
+                                 this->log.write(
+                                     log_event::replica_recovered,
+                                     {{"replica", target->record.id}});
+                             }
+                         });
+    }
+    this->log.flush();
+    if (!this->is_upkeep_pending)
+    {
+        this->is_upkeep_pending = true;
+        this->runtime.call_after(upkeep_interval,
+                                 [this]
+                                 {
+                                     this->is_upkeep_pending = false;
+                                     this->upkeep();
+                                 });
+    }
+}
+
+void node::serve_caller(http::request message, const http::responder& respond)
+{
+    const auto exchange = message.exchange;
+    auto request = platform::read_caller_request(std::move(message));
+    if (!request)
+    {
+        this->log.write(log_event::bad_input,
+                        {{"error", request.error().detail}});
+        respond(platform::write_bad_input(request.error().code,
+                                          request.error().detail));
+        return;
+    }
+    const auto is_answered = std::make_shared<bool>(false);
+    const auto run = this->engine.start(
+        std::move(*request),
+        [this, exchange, respond, is_answered](
+            core::relay::caller_answer answer)
+        {
+            *is_answered = true;
+            this->runs_by_exchange.erase(exchange);
+            respond(platform::write_caller_answer(std::move(answer)));
+        });
+    if (!*is_answered)
+    {
+        this->runs_by_exchange[exchange] = run;
+    }
+}
+
+void node::serve_directory(const http::request& message,
+                           const http::responder& respond)
+{
+    const auto question = platform::read_directory_question(message.target);
+    if (!question)
+    {
+        respond(platform::write_bad_input(question.error().code,
+                                          question.error().detail));
+        return;
+    }
+    this->engine.counters.add(relay_counter::directory_answers);
+    std::vector<std::string> addresses;
+    for (const auto& item : this->nodes.usable(this->runtime.now()))
+    {
+        addresses.push_back(item.callers);
+    }
+    respond(platform::write_directory_answer(
+        addresses, std::min(address_ttl, this->settings.longest_address_ttl)));
+}
+
+bool node::is_ready() const
+{
+    return !this->is_stopping &&
+           this->engine.configuration_in_force() != nullptr;
+}
+
+void node::serve_readiness(const http::responder& respond)
+{
+    http::response reply;
+    reply.status = this->is_ready() ? 200 : 503;
+    reply.content_type.clear();
+    respond(std::move(reply));
+}
+
+void node::reload(const relay_settings& changed)
+{
+    this->settings.stop_grace = changed.stop_grace;
+    this->settings.longest_address_ttl = changed.longest_address_ttl;
+    this->log.write(log_event::settings_reloaded, {});
+}
+
+void node::stop(std::function<void()> done)
+{
+    if (this->is_stopping)
+    {
+        return;
+    }
+    this->is_stopping = true;
+    this->log.write(log_event::relay_stopping,
+                    {{"active", std::to_string(this->engine.active())}});
+    this->nodes.stop();
+    this->follower.stop();
+    for (const auto& other : this->nodes.others())
+    {
+        this->peers.send(other.peers, this->nodes.self());
+    }
+    this->callers->drain();
+    const auto now = this->runtime.now();
+    const auto part = [this](double share)
+    {
+        return std::chrono::duration_cast<core::base::duration>(
+            share * std::chrono::duration<double>(this->settings.stop_grace));
+    };
+    this->wait_for_end(
+        now + part(close_idle_after), now + part(end_after), done);
+}
+
+void node::wait_for_end(core::base::time_point close_at,
+                        core::base::time_point end_at,
+                        const std::function<void()>& done)
+{
+    const auto now = this->runtime.now();
+    if (now >= close_at && !this->is_idle_closed)
+    {
+        this->is_idle_closed = true;
+        this->callers->close_idle();
+    }
+    const bool is_finished =
+        this->is_idle_closed && this->callers->connections() == 0;
+    if (is_finished || now >= end_at)
+    {
+        this->log.write(
+            log_event::relay_stopped,
+            {{"connections", std::to_string(this->callers->connections())}});
+        this->log.flush();
+        done();
+        return;
+    }
+    this->runtime.call_after(stop_check,
+                             [this, close_at, end_at, done]
+                             {
+                                 this->wait_for_end(close_at, end_at, done);
+                             });
+}
+
+} // namespace
+
+std::unique_ptr<relay_node> relay_node::create(boost::asio::io_context& io,
+                                               relay_settings settings)
+{
+    return std::make_unique<node>(io, std::move(settings));
+}
+
+} // namespace hawthornrelay::adapters::relay
--- /dev/null
+++ b/src/adapters/relay/replica_link.hpp
@@ -0,0 +1,106 @@
+/// @file
+/// @brief One connection to a replica.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <ports/replica_transport.hpp>
+
+namespace hawthornrelay::adapters::relay
+{
+
+/// @brief Carries one request at a time; reads always, so that bytes which
+///        belong to no request end the connection.
+class replica_link : public std::enable_shared_from_this<replica_link>
+{
+  public:
+    /// @brief Work for a link.
+    struct job
+    {
+        std::uint64_t send = 0;
+        std::shared_ptr<const ports::forwarded_request> request;
+        std::chrono::steady_clock::time_point stops_at; ///< caller's deadline
+        std::string expected_replica;
+        ports::replica_transport::handler done;
+    };
+
+    /// @brief Called when a link can take no more work.
+    using closed_handler = std::function<void(const replica_link*)>;
+
+    replica_link(boost::asio::io_context& io, closed_handler on_closed);
+
+    /// @brief Connects; a job given before is sent as soon as it is connected.
+    void connect(const boost::asio::ip::tcp::endpoint& to);
+
+    /// @brief Sends a request, now or once connected.
+    void start(job work);
+
+    /// @brief Resets the connection without calling the handler.
+    void abort();
+
+    /// @brief Closes an idle connection.
+    void close();
+
+    /// @brief True if a request may be sent at once.
+    [[nodiscard]] bool is_idle() const;
+
+    /// @brief True while there is no request on the link.
+    [[nodiscard]] bool is_free() const;
+
+    /// @brief The id of the request that was sent last.
+    [[nodiscard]] const std::string& last_request() const
+    {
+        return this->last_request_id;
+    }
+
+  private:
+    enum class state
+    {
+        connecting,
+        idle,
+        busy,
+        closed,
+    };
+
+    using parser_type =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void on_connected(const boost::system::error_code& error);
+    void write();
+    void read();
+    void on_read(const boost::system::error_code& error, std::size_t count);
+    void parse();
+    void on_message();
+    void begin_message();
+    void finish(ports::send_outcome outcome);
+    void fail(core::relay::send_result result, std::string detail);
+    void reset();
+    void rest();
+    [[nodiscard]] ports::send_outcome
+    outcome_of(parser_type::value_type message) const;
+
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::steady_timer timer;
+    closed_handler on_closed;
+    boost::beast::flat_buffer buffer;
+    std::optional<parser_type> parser;
+    std::optional<job> current;
+    std::string last_request_id;
+    boost::beast::http::request<boost::beast::http::string_body> outgoing;
+    std::chrono::milliseconds keep_for{0};
+    state phase = state::connecting;
+    bool is_writing = false;
+    bool is_sent = false; ///< a byte of the request may have been written
+    bool keep_alive = true;
+};
+
+} // namespace hawthornrelay::adapters::relay
--- /dev/null
+++ b/src/adapters/relay/replica_pool.hpp
@@ -0,0 +1,83 @@
+/// @file
+/// @brief Kept connections to replicas.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include <core/relay/configuration.hpp>
+#include <core/relay/relay_counters.hpp>
+#include <ports/replica_transport.hpp>
+
+namespace hawthornrelay::adapters::relay
+{
+
+class replica_link;
+
+/// @brief The connections of one node to all replicas.
+class replica_pool final : public ports::replica_transport
+{
+  public:
+    /// @brief Creates a pool without connections.
+    /// @param io the context to run on; it must outlive this object
+    /// @param counters where connections and probes are counted
+    replica_pool(boost::asio::io_context& io,
+                 core::relay::relay_counters& counters);
+    ~replica_pool() override;
+
+    std::uint64_t send(const core::relay::replica_ptr& to,
+                       std::shared_ptr<const ports::forwarded_request> request,
+                       core::base::duration time_left,
+                       handler done) override;
+    void cancel(std::uint64_t send) override;
+
+    /// @brief Sets the bounds on connections.
+    /// @param config the configuration in force
+    /// @param node_count nodes that divide the connections of a replica
+    void set_bounds(core::relay::configuration_ptr config, unsigned node_count);
+
+    /// @brief Keeps a connection open to each replica that may get work.
+    /// @param to the replica
+    void keep_warm(const core::relay::replica_ptr& to);
+
+    /// @brief Asks a replica whether it is healthy.
+    /// @param to the replica
+    /// @param done receives true when it is
+    void probe(const core::relay::replica_ptr& to,
+               const std::function<void(bool)>& done);
+
+    /// @brief Closes the idle connections of replicas that are not listed any
+    ///        more.
+    void drop_removed();
+
+  private:
+    friend class replica_link;
+
+    using key = const core::relay::replica*;
+
+    struct entry
+    {
+        core::relay::replica_ptr target;
+        std::vector<std::shared_ptr<replica_link>> links;
+    };
+
+    [[nodiscard]] std::size_t limit_for(const core::relay::replica& to) const;
+    std::shared_ptr<replica_link> open(entry& place);
+    std::shared_ptr<replica_link> take_idle(entry& place,
+                                            const std::string& request_id);
+    void on_closed(key target, const replica_link* link);
+
+    boost::asio::io_context& io;
+    core::relay::relay_counters& counters;
+    core::relay::configuration_ptr config;
+    unsigned node_count = 1;
+    std::map<key, entry> entries;
+    std::map<std::uint64_t, std::weak_ptr<replica_link>> sends;
+    std::uint64_t next_send = 1;
+};
+
+} // namespace hawthornrelay::adapters::relay
--- a/src/commands/command.hpp
+++ b/src/commands/command.hpp
@@ -25,6 +25,7 @@
 constexpr int exit_usage = 2;
 
 int serve(const arguments& args);
+int relay(const arguments& args);
 int check_settings(const arguments& args);
 int hash_key(const arguments& args);
 int addresses(const arguments& args);
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -16,7 +16,7 @@
 #include <adapters/asio/asio_runtime.hpp>
 #include <adapters/crypto/digest.hpp>
 #include <adapters/http/server.hpp>
-#include <adapters/log/stderr_log.hpp>
+#include <adapters/log/stdout_log.hpp>
 #include <adapters/peer/tcp_peers.hpp>
 #include <adapters/platform/http_platform.hpp>
 #include <adapters/settings/settings.hpp>
@@ -176,7 +176,7 @@
     core::base::incarnation run;
     boost::asio::io_context io{1};
     adapters::asio::asio_runtime runtime;
-    adapters::log::stderr_log log;
+    adapters::log::stdout_log log;
     adapters::platform::http_platform platform;
     adapters::target::http_targets targets;
     boost::asio::signal_set signals;
--- a/src/core/base/result.hpp
+++ b/src/core/base/result.hpp
@@ -26,6 +26,8 @@
     deadline_expired = 104,
     no_such_path = 105,
     method_not_allowed = 106,
+    header_too_large = 107,
+    request_timeout = 108,
 
     unknown_credentials = 201,
     service_not_in_plan = 202,
@@ -61,6 +63,7 @@
     invalid_value = 602,
     no_such_item = 603,
     not_in_force = 604,
+    history_gone = 605,
 
     platform_unreachable = 701,
     platform_answer_lost = 702,
--- /dev/null
+++ b/src/core/relay/extra_budget.cpp
@@ -0,0 +1,92 @@
+#include <core/relay/extra_budget.hpp>
+
+#include <algorithm>
+
+namespace hawthornrelay::core::relay
+{
+
+using base::time_point;
+
+extra_budget::extra_budget(extra_budget_settings settings,
+                           time_point started,
+                           bool knows_history)
+    : settings(settings), started(started), knows_history(knows_history)
+{
+}
+
+void extra_budget::set_node_count(unsigned count)
+{
+    this->node_count = std::max(1U, count);
+}
+
+void extra_budget::on_request(const std::string& service, time_point now)
+{
+    auto& entry = this->accounts[service];
+    this->expire(entry, now);
+    entry.requests.push_back(now);
+}
+
+bool extra_budget::try_take(const std::string& service,
+                            time_point now,
+                            double part)
+{
+    if (this->left(service, now, part) < 1.0)
+    {
+        return false;
+    }
+    ++this->accounts[service].in_flight;
+    return true;
+}
+
+void extra_budget::on_settled(const std::string& service, time_point now)
+{
+    auto& entry = this->accounts[service];
+    if (entry.in_flight > 0)
+    {
+        --entry.in_flight;
+        entry.settled.push_back(now);
+    }
+}
+
+double
+extra_budget::left(const std::string& service, time_point now, double part)
+{
+    auto& entry = this->accounts[service];
+    this->expire(entry, now);
+    const double bound =
+        this->settings.ratio * static_cast<double>(entry.requests.size()) +
+        this->slack_now(now);
+    const auto used =
+        static_cast<double>(entry.settled.size() + entry.in_flight);
+    return bound * this->settings.safety * part - used;
+}
+
+void extra_budget::expire(account& entry, time_point now) const
+{
+    const auto oldest = now - this->settings.window;
+    const auto drop = [oldest](std::deque<time_point>& times)
+    {
+        while (!times.empty() && times.front() < oldest)
+        {
+            times.pop_front();
+        }
+    };
+    drop(entry.requests);
+    drop(entry.settled);
+}
+
+double extra_budget::slack_now(time_point now) const
+{
+    const double own =
+        this->settings.slack / static_cast<double>(this->node_count);
+    if (this->knows_history)
+    {
+        return own;
+    }
+    // The process before this one may have used the slack of this window.
+    const auto age = std::chrono::duration<double>(now - this->started);
+    const auto window = std::chrono::duration<double>(this->settings.window);
+    return age >= window ? own : 0;
+}
+
+} // namespace hawthornrelay::core::relay
--- /dev/null
+++ b/src/core/relay/relay_counters.hpp
@@ -0,0 +1,98 @@
+/// @file
+/// @brief Counters and histograms of a relay process.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include <core/base/time.hpp>
+
+namespace hawthornrelay::core::relay
+{
+
+/// @brief What a relay counts.
+enum class relay_counter : std::size_t
+{
+    requests,
+    answers_ok,
+    answers_partial,
+    answers_late,
+    answers_failed,
+    refusals,
+    callers_gone,
+    sends,
+    hedges,
+    resends,
+    extras_withheld,
+    sheds,
+    broken_sends,
+    not_sent,
+    abandoned_sends,
+    other_replica,
+    connections_opened,
+    probes,
+    store_calls,
+    store_failures,
+    directory_answers,
+    log_lines_dropped,
+    end
+};
+
+/// @brief Names on the metrics page, in the order of relay_counter.
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(relay_counter::end)>
+    relay_counter_names{"requests",         "answers_ok",
+                        "answers_partial",  "answers_late",
+                        "answers_failed",   "refusals",
+                        "callers_gone",     "sends",
+                        "hedges",           "resends",
+                        "extras_withheld",  "sheds",
+                        "broken_sends",     "not_sent",
+                        "abandoned_sends",  "other_replica",
+                        "connections_opened", "probes",
+                        "store_calls",      "store_failures",
+                        "directory_answers", "log_lines_dropped"};
+
+/// @brief A latency histogram with fixed bounds.
+class latency_histogram
+{
+  public:
+    /// Upper bounds in milliseconds; the last bucket has none.
+    static constexpr std::array<unsigned, 12> bounds_ms{
+        2, 5, 10, 20, 40, 60, 80, 100, 150, 250, 500, 1000};
+
+    /// @brief Counts a latency.
+    void add(base::duration latency)
+    {
+        const auto ms = std::chrono::duration<double, std::milli>(latency);
+        std::size_t bucket = 0;
+        while (bucket < bounds_ms.size() && ms.count() > bounds_ms[bucket])
+        {
+            ++bucket;
+        }
+        ++this->buckets[bucket];
+        this->sum += latency;
+    }
+
+    std::array<std::uint64_t, bounds_ms.size() + 1> buckets{};
+    base::duration sum{};
+};
+
+/// @brief The counters of one process. Each only grows.
+struct relay_counters
+{
+    /// @brief Adds to a counter.
+    void add(relay_counter which, std::uint64_t amount = 1)
+    {
+        this->values[static_cast<std::size_t>(which)] += amount;
+    }
+
+    std::array<std::uint64_t, static_cast<std::size_t>(relay_counter::end)>
+        values{};
+    latency_histogram answers;
+    latency_histogram parts;
+};
+
+} // namespace hawthornrelay::core::relay
--- /dev/null
+++ b/src/core/relay/replica_health.cpp
@@ -0,0 +1,121 @@
+#include <core/relay/replica_health.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornrelay::core::relay
+{
+
+using base::duration;
+using base::time_point;
+
+namespace
+{
+
+/// Weight of one sample; about the last seven samples count.
+constexpr double sample_weight = 0.25;
+
+/// Time in which a mean without samples drifts half way back, so that a
+/// replica that was slow is tried again within seconds.
+constexpr std::chrono::milliseconds drift_half_life{1500};
+
+/// A reported load says nothing about the present after this time.
+constexpr std::chrono::milliseconds load_validity{300};
+
+/// Failures without a success in between that make a replica suspect.
+constexpr unsigned suspect_after = 2;
+
+/// Cost of one request that waits at the replica, over the usual time.
+constexpr double cost_of_waiting = 0.5;
+
+/// A failure costs as much as this many usual times: another send is needed.
+constexpr double cost_of_failure = 4.0;
+
+} // namespace
+
+void decaying_mean::add(double sample, time_point now)
+{
+    const double before = this->at(now);
+    this->value = before + sample_weight * (sample - before);
+    this->updated = now;
+}
+
+double decaying_mean::at(time_point now) const
+{
+    const auto idle = std::chrono::duration<double>(now - this->updated);
+    const auto half = std::chrono::duration<double>(drift_half_life);
+    const double kept = std::exp2(-std::max(0.0, idle / half));
+    return this->rest + (this->value - this->rest) * kept;
+}
+
+void replica_health::on_sent(std::uint64_t send, time_point now)
+{
+    this->in_flight[send] = now;
+}
+
+void replica_health::on_result(std::uint64_t send,
+                               send_result result,
+                               double slowness,
+                               time_point now)
+{
+    this->in_flight.erase(send);
+    const bool is_failure = result == send_result::broken ||
+                            result == send_result::not_sent ||
+                            result == send_result::abandoned ||
+                            result == send_result::other_here;
+    this->failed.add(is_failure ? 1.0 : 0.0, now);
+    this->failures_in_a_row = is_failure ? this->failures_in_a_row + 1 : 0;
+    if (!is_failure)
+    {
+        this->shed.add(result == send_result::shed ? 1.0 : 0.0, now);
+    }
+    if (result == send_result::answered)
+    {
+        this->slowness.add(slowness, now);
+    }
+}
+
+void replica_health::on_load(double busy_share, time_point now)
+{
+    this->busy_share = busy_share;
+    this->busy_at = now;
+}
+
+void replica_health::on_probe_ok()
+{
+    this->failures_in_a_row = 0;
+}
+
+bool replica_health::is_suspect() const
+{
+    return this->failures_in_a_row >= suspect_after;
+}
+
+double replica_health::cost(time_point now) const
+{
+    const double load =
+        now - this->busy_at < load_validity ? this->busy_share : 0.0;
+    const double waiting =
+        cost_of_waiting *
+        (static_cast<double>(this->in_flight.size()) + load);
+    const double failures =
+        cost_of_failure * (this->failed.at(now) + this->shed.at(now));
+    return std::max(0.1, this->slowness.at(now)) + waiting + failures;
+}
+
+duration replica_health::oldest_wait(time_point now) const
+{
+    duration oldest{0};
+    for (const auto& [send, sent_at] : this->in_flight)
+    {
+        oldest = std::max(oldest, now - sent_at);
+    }
+    return oldest;
+}
+
+double replica_health::shed_share(time_point now) const
+{
+    return this->shed.at(now);
+}
+
+} // namespace hawthornrelay::core::relay
--- /dev/null
+++ b/src/core/relay/replica_registry.cpp
@@ -0,0 +1,173 @@
+#include <core/relay/replica_registry.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace hawthornrelay::core::relay
+{
+
+using base::time_point;
+
+namespace
+{
+
+/// Entries that lapsed in an outage of the store are written again within two
+/// seconds of its return (platform contract).
+constexpr std::chrono::milliseconds lapse_grace{2000};
+
+bool is_older(const replica_record& left, const replica_record& right)
+{
+    return std::tie(left.started_at, left.sequence) <
+           std::tie(right.started_at, right.sequence);
+}
+
+} // namespace
+
+bool replica_registry::put(const replica_record& record, time_point now)
+{
+    const auto known = this->replicas.find(record.id);
+    if (known != this->replicas.end())
+    {
+        auto& current = known->second->record;
+        if (is_older(record, current))
+        {
+            return false;
+        }
+        this->lapsing.erase(record.id);
+        const bool is_same_run = record.started_at == current.started_at &&
+                                 record.address == current.address &&
+                                 record.service == current.service;
+        if (is_same_run)
+        {
+            const bool changed = current.is_draining != record.is_draining;
+            current = record;
+            if (record.warm_up_left.count() > 0)
+            {
+                known->second->cold_until = now + record.warm_up_left;
+            }
+            return changed;
+        }
+        this->drop(record.id);
+    }
+    auto added = std::make_shared<replica>();
+    added->record = record;
+    added->cold_until = now + record.warm_up_left;
+    this->replicas[record.id] = added;
+    this->by_service[record.service].push_back(added);
+    return true;
+}
+
+bool replica_registry::remove(const std::string& id,
+                              bool may_have_lapsed,
+                              time_point now)
+{
+    const auto known = this->replicas.find(id);
+    if (known == this->replicas.end())
+    {
+        return false;
+    }
+    if (may_have_lapsed && !known->second->record.is_draining)
+    {
+        this->lapsing.emplace(id, now + lapse_grace);
+    }
+    else
+    {
+        this->drop(id);
+    }
+    return true;
+}
+
+void replica_registry::put_unreadable(const std::string& id, time_point now)
+{
+    this->remove(id, false, now);
+}
+
+void replica_registry::replace_all(const std::vector<replica_record>& records,
+                                   bool may_have_lapsed,
+                                   time_point now)
+{
+    std::set<std::string> listed;
+    for (const auto& record : records)
+    {
+        listed.insert(record.id);
+        this->put(record, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, known] : this->replicas)
+    {
+        if (!listed.contains(id) && !this->lapsing.contains(id))
+        {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing)
+    {
+        this->remove(id, may_have_lapsed, now);
+    }
+}
+
+std::vector<std::string> replica_registry::expire(time_point now)
+{
+    std::vector<std::string> ended;
+    for (const auto& [id, until] : this->lapsing)
+    {
+        if (until <= now)
+        {
+            ended.push_back(id);
+        }
+    }
+    for (const auto& id : ended)
+    {
+        this->drop(id);
+    }
+    return ended;
+}
+
+void replica_registry::set_zone_out(const std::string& zone, bool is_out)
+{
+    if (is_out)
+    {
+        this->out.insert(zone);
+    }
+    else
+    {
+        this->out.erase(zone);
+    }
+}
+
+std::vector<replica_ptr>
+replica_registry::usable(const std::string& service) const
+{
+    std::vector<replica_ptr> result;
+    const auto found = this->by_service.find(service);
+    if (found == this->by_service.end())
+    {
+        return result;
+    }
+    for (const auto& candidate : found->second)
+    {
+        if (!candidate->record.is_draining &&
+            !this->out.contains(candidate->record.zone))
+        {
+            result.push_back(candidate);
+        }
+    }
+    return result;
+}
+
+void replica_registry::drop(const std::string& id)
+{
+    this->lapsing.erase(id);
+    const auto found = this->replicas.find(id);
+    if (found == this->replicas.end())
+    {
+        return;
+    }
+    found->second->is_removed = true;
+    auto& list = this->by_service[found->second->record.service];
+    list.erase(std::remove(list.begin(), list.end(), found->second),
+               list.end());
+    this->replicas.erase(found);
+}
+
+} // namespace hawthornrelay::core::relay
--- /dev/null
+++ b/src/core/relay/replica_registry.hpp
@@ -0,0 +1,92 @@
+/// @file
+/// @brief The replicas that the platform's store lists.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <core/base/time.hpp>
+#include <core/relay/replica.hpp>
+#include <core/relay/replica_health.hpp>
+
+namespace hawthornrelay::core::relay
+{
+
+/// @brief One replica in one incarnation.
+struct replica
+{
+    replica_record record;
+    replica_health health;
+    base::time_point cold_until{};
+    bool is_removed = false; ///< its registration is gone
+    /// Recent sends while cold, for the bound on cold replicas.
+    std::vector<base::time_point> cold_sends;
+};
+
+/// @brief Shared by the registry and the requests in flight.
+using replica_ptr = std::shared_ptr<replica>;
+
+/// @brief Follows the registrations and tells which replicas may get work.
+class replica_registry
+{
+  public:
+    /// @brief Takes a registration; one older than the known one is ignored.
+    /// @return true if the set of replicas or a state changed
+    bool put(const replica_record& record, base::time_point now);
+
+    /// @brief Takes the removal of a registration.
+    /// @param id the replica
+    /// @param may_have_lapsed true if the store was away lately, so that the
+    ///        entry may come back; the replica is then kept for the grace time
+    /// @return true if the replica was known
+    bool remove(const std::string& id,
+                bool may_have_lapsed,
+                base::time_point now);
+
+    /// @brief Notes that an entry cannot be decoded: it names no replica.
+    void put_unreadable(const std::string& id, base::time_point now);
+
+    /// @brief Replaces everything by a complete listing.
+    /// @param records all registrations
+    /// @param may_have_lapsed as for remove()
+    void replace_all(const std::vector<replica_record>& records,
+                     bool may_have_lapsed,
+                     base::time_point now);
+
+    /// @brief Removes replicas whose grace time has ended.
+    /// @return the ids that were removed
+    std::vector<std::string> expire(base::time_point now);
+
+    /// @brief Takes a zone out or back.
+    void set_zone_out(const std::string& zone, bool is_out);
+
+    /// @brief Zones that are taken out.
+    [[nodiscard]] const std::set<std::string, std::less<>>& zones_out() const
+    {
+        return this->out;
+    }
+
+    /// @brief Replicas of a service that may get new work.
+    [[nodiscard]] std::vector<replica_ptr>
+    usable(const std::string& service) const;
+
+    /// @brief All replicas that are listed.
+    [[nodiscard]] const std::map<std::string, replica_ptr>& all() const
+    {
+        return this->replicas;
+    }
+
+  private:
+    void drop(const std::string& id);
+
+    std::map<std::string, replica_ptr> replicas;
+    std::map<std::string, std::vector<replica_ptr>, std::less<>> by_service;
+    std::map<std::string, base::time_point> lapsing;
+    std::set<std::string, std::less<>> out;
+};
+
+} // namespace hawthornrelay::core::relay
--- /dev/null
+++ b/src/core/relay/request_engine.cpp
@@ -0,0 +1,166 @@
+#include <core/relay/request_engine.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <core/relay/request_run.hpp>
+
+namespace hawthornrelay::core::relay
+{
+
+using base::duration;
+using base::time_point;
+
+namespace
+{
+
+/// A replica in another availability zone counts as this much costlier, for
+/// the bytes that cross the zones.
+constexpr double remote_zone_factor = 1.5;
+
+/// Cost of a replica whose oldest send waits longer than usual: it pauses.
+constexpr double cost_of_stall = 6.0;
+
+/// Cost of a replica that is taken to be down; used when there is no other.
+constexpr double cost_of_suspect = 100.0;
+
+/// Part of the bound on cold replicas that the nodes use together, since sends
+/// of one second may arrive within less.
+constexpr double cold_safety = 0.6;
+
+} // namespace
+
+request_engine::request_engine(engine_settings settings,
+                               ports::runtime& runtime,
+                               ports::replica_transport& transport,
+                               ports::event_log& log)
+    : settings(std::move(settings)), runtime(runtime), transport(transport),
+      log(log), extras(this->settings.extras,
+                       runtime.now(),
+                       this->settings.knows_extra_history)
+{
+}
+
+request_engine::~request_engine() = default;
+
+void request_engine::set_configuration(configuration_ptr config)
+{
+    this->config = std::move(config);
+}
+
+void request_engine::set_node_count(unsigned count)
+{
+    this->node_count = std::max(1U, count);
+    this->extras.set_node_count(this->node_count);
+}
+
+std::uint64_t request_engine::start(caller_request request, answer_handler done)
+{
+    const auto number = this->next_run++;
+    const auto run = std::make_shared<request_run>(
+        *this, number, std::move(request), std::move(done));
+    this->runs[number] = run;
+    run->start();
+    return number;
+}
+
+void request_engine::on_caller_gone(std::uint64_t request)
+{
+    const auto found = this->runs.find(request);
+    if (found != this->runs.end())
+    {
+        const auto run = found->second;
+        run->on_caller_gone();
+    }
+}
+
+void request_engine::forget(std::uint64_t request)
+{
+    this->runs.erase(request);
+}
+
+replica_ptr request_engine::choose(const std::string& service,
+                                   const std::vector<replica_ptr>& avoid,
+                                   duration usual)
+{
+    const auto now = this->runtime.now();
+    auto candidates = this->registry.usable(service);
+    std::erase_if(candidates,
+                  [&](const replica_ptr& candidate)
+                  {
+                      return std::find(avoid.begin(), avoid.end(), candidate) !=
+                             avoid.end();
+                  });
+    // Equal candidates take turns.
+    ++this->next_choice;
+    std::vector<std::pair<double, replica_ptr>> ranked;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        const auto& candidate =
+            candidates[(i + this->next_choice) % candidates.size()];
+        double cost = candidate->health.cost(now);
+        if (candidate->record.zone != this->settings.zone)
+        {
+            cost *= remote_zone_factor;
+        }
+        if (candidate->health.oldest_wait(now) > usual)
+        {
+            cost += cost_of_stall;
+        }
+        if (candidate->health.is_suspect())
+        {
+            cost += cost_of_suspect;
+        }
+        ranked.emplace_back(cost, candidate);
+    }
+    std::stable_sort(ranked.begin(),
+                     ranked.end(),
+                     [](const auto& left, const auto& right)
+                     {
+                         return left.first < right.first;
+                     });
+    for (const auto& [cost, candidate] : ranked)
+    {
+        if (this->admit_cold(*candidate, now))
+        {
+            return candidate;
+        }
+    }
+    return nullptr;
+}
+
+bool request_engine::admit_cold(replica& target, time_point now)
+{
+    if (target.cold_until <= now || this->config == nullptr)
+    {
+        return true;
+    }
+    const auto service = this->config->services.find(target.record.service);
+    if (service == this->config->services.end() ||
+        service->second.cold_requests_per_second <= 0)
+    {
+        return true;
+    }
+    const double over_all_nodes =
+        service->second.cold_requests_per_second *
+            this->settings.cold_overshoot +
+        this->settings.cold_slack;
+    const double own =
+        over_all_nodes * cold_safety / static_cast<double>(this->node_count);
+    // Below one send a second, sends are spaced further apart.
+    const auto span = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::max(1.0, 1.0 / own)));
+    std::erase_if(target.cold_sends,
+                  [&](time_point sent)
+                  {
+                      return sent + span <= now;
+                  });
+    if (static_cast<double>(target.cold_sends.size()) >= std::max(1.0, own))
+    {
+        return false;
+    }
+    target.cold_sends.push_back(now);
+    return true;
+}
+
+} // namespace hawthornrelay::core::relay
--- /dev/null
+++ b/src/core/relay/request_engine.hpp
@@ -0,0 +1,139 @@
+/// @file
+/// @brief Carries callers' requests to replicas and their answers back.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <core/base/result.hpp>
+#include <core/base/time.hpp>
+#include <core/dispatch/latency_window.hpp>
+#include <core/relay/configuration.hpp>
+#include <core/relay/extra_budget.hpp>
+#include <core/relay/relay_counters.hpp>
+#include <core/relay/replica_registry.hpp>
+#include <ports/event_log.hpp>
+#include <ports/replica_transport.hpp>
+#include <ports/runtime.hpp>
+
+namespace hawthornrelay::core::relay
+{
+
+/// @brief What a request engine needs to know of its site.
+struct engine_settings
+{
+    std::string zone; ///< the availability zone of this VM
+    extra_budget_settings extras;
+    bool knows_extra_history = false; ///< see extra_budget
+    /// Bound on a cold replica over all nodes: rate x overshoot + slack.
+    double cold_overshoot = 1.5;
+    double cold_slack = 5;
+};
+
+/// @brief A caller's request with what is known of its time.
+struct caller_request
+{
+    std::shared_ptr<const ports::forwarded_request> message;
+    base::duration time_left{}; ///< how long the caller waits from now on
+    base::duration round_trip{}; ///< to the caller and back
+    bool is_new_connection = false;
+};
+
+/// @brief The answer to a caller.
+struct caller_answer
+{
+    base::result_code code = base::result_code::ok;
+    std::string detail;            ///< of a failure, for people
+    ports::replica_answer content; ///< when code is ok
+    bool is_search = false;
+    std::vector<std::string> signatures; ///< of the parts of a search
+    std::size_t missing_shards = 0;      ///< of a search
+    /// True when no replica has run the request nor ever will.
+    bool is_not_run = false;
+    base::duration retry_after{}; ///< for refusals
+};
+
+/// @brief Runs requests: chooses replicas, hedges, resends within the shared
+///        bounds, cuts searches at their latency objective, merges.
+class request_engine
+{
+  public:
+    using answer_handler = std::function<void(caller_answer)>;
+
+    /// @brief Attaches to the outside.
+    request_engine(engine_settings settings,
+                   ports::runtime& runtime,
+                   ports::replica_transport& transport,
+                   ports::event_log& log);
+    ~request_engine();
+    request_engine(const request_engine&) = delete;
+    request_engine& operator=(const request_engine&) = delete;
+
+    /// @brief Puts a configuration in force for later requests.
+    void set_configuration(configuration_ptr config);
+
+    /// @brief The configuration in force, nullptr before the first.
+    [[nodiscard]] const configuration_ptr& configuration_in_force() const
+    {
+        return this->config;
+    }
+
+    /// @brief Sets how many live nodes divide the bounds.
+    void set_node_count(unsigned count);
+
+    /// @brief Starts a request.
+    /// @param request the request
+    /// @param done receives the answer once, possibly before start() returns
+    /// @return a number for on_caller_gone()
+    std::uint64_t start(caller_request request, answer_handler done);
+
+    /// @brief Tells that the caller of a request has left.
+    void on_caller_gone(std::uint64_t request);
+
+    /// @brief Requests without an answer.
+    [[nodiscard]] std::size_t active() const
+    {
+        return this->runs.size();
+    }
+
+    replica_registry registry;
+    relay_counters counters;
+
+  private:
+    friend class request_run;
+
+    /// Latencies of one route's parts.
+    struct route_latency
+    {
+        dispatch::latency_window parts;
+    };
+
+    /// @brief Chooses a replica.
+    /// @param service the service
+    /// @param avoid replicas that were tried
+    /// @return the replica, or nullptr when none may be used
+    replica_ptr choose(const std::string& service,
+                       const std::vector<replica_ptr>& avoid,
+                       base::duration usual);
+    bool admit_cold(replica& target, base::time_point now);
+    void forget(std::uint64_t request);
+
+    engine_settings settings;
+    ports::runtime& runtime;
+    ports::replica_transport& transport;
+    ports::event_log& log;
+    configuration_ptr config;
+    extra_budget extras;
+    unsigned node_count = 1;
+    std::map<std::string, route_latency> latencies;
+    std::map<std::string, weighted_choice> splits;
+    std::map<std::uint64_t, std::shared_ptr<class request_run>> runs;
+    std::uint64_t next_run = 1;
+    std::uint64_t next_choice = 0;
+};
+
+} // namespace hawthornrelay::core::relay
--- /dev/null
+++ b/src/core/relay/request_run.cpp
@@ -0,0 +1,655 @@
+#include <core/relay/request_run.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <core/relay/record_merge.hpp>
+
+namespace hawthornrelay::core::relay
+{
+
+using base::duration;
+using base::result_code;
+using base::time_point;
+
+namespace
+{
+
+/// Part latencies above this quantile are hedged.
+constexpr double hedge_quantile = 0.92;
+
+/// No hedge before this time, whatever the quantile.
+constexpr std::chrono::milliseconds least_hedge_delay{8};
+
+/// A hedge later than this share of the objective comes too late to help.
+constexpr double latest_hedge_share = 0.3;
+
+/// A part that is known to wait at a stalled replica is hedged this soon.
+constexpr std::chrono::milliseconds stalled_hedge_delay{5};
+
+/// Time kept for merging and writing an answer before the objective.
+constexpr std::chrono::milliseconds cut_reserve{4};
+
+/// Round trip assumed for a caller when none was measured.
+constexpr std::chrono::milliseconds default_round_trip{6};
+
+/// Time for a final answer to reach the caller before its deadline.
+constexpr std::chrono::milliseconds deadline_reserve{8};
+
+/// Sends of one part, rejected ones included.
+constexpr std::size_t most_tries = 6;
+
+/// Part of the bound on extra sends that hedges may fill; the rest is kept for
+/// parts that have no other send under way.
+constexpr double hedge_part = 0.6;
+
+/// After a caller has left, its sends may still finish in this time and keep
+/// their connections; then they are reset.
+constexpr std::chrono::milliseconds gone_grace{300};
+
+/// Retry-After of refusals: a pause of a replica has ended by then.
+constexpr std::chrono::milliseconds retry_pause{20};
+
+std::string ms_text(duration value)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::microseconds>(value).count() /
+        1000);
+}
+
+} // namespace
+
+request_run::request_run(request_engine& engine,
+                         std::uint64_t number,
+                         caller_request request,
+                         request_engine::answer_handler done)
+    : engine(engine), number(number), request(std::move(request)),
+      done(std::move(done)), config(engine.config),
+      started(engine.runtime.now())
+{
+}
+
+void request_run::start()
+{
+    this->engine.counters.add(relay_counter::requests);
+    if (!this->select_route())
+    {
+        return;
+    }
+    this->plan_times();
+    this->is_dispatching = true;
+    for (std::size_t i = 0; i < this->parts.size(); ++i)
+    {
+        this->engine.extras.on_request(this->parts[i].service, this->started);
+        if (!this->send_first(i))
+        {
+            this->parts[i].is_failed = true;
+        }
+    }
+    this->is_dispatching = false;
+    this->check_progress();
+    this->arm();
+}
+
+bool request_run::select_route()
+{
+    if (this->config == nullptr)
+    {
+        this->fail(result_code::node_not_ready, "no configuration yet");
+        return false;
+    }
+    const auto& message = *this->request.message;
+    this->way = find_route(*this->config, message.host, message.target);
+    if (this->way == nullptr)
+    {
+        this->fail(result_code::no_such_path, "no route for this path");
+        return false;
+    }
+    if (this->way->is_search())
+    {
+        for (const auto& shard : this->way->shards)
+        {
+            this->parts.push_back({.service = shard});
+        }
+        return true;
+    }
+    const auto& to = this->way->destinations;
+    const auto chosen =
+        to.size() == 1 ? 0 : this->engine.splits[this->way->name].next(to);
+    this->parts.push_back({.service = to[chosen].service});
+    return true;
+}
+
+void request_run::plan_times()
+{
+    const duration timeout = this->way->timeout;
+    const duration caller =
+        this->request.time_left > duration(deadline_reserve) * 2
+            ? this->request.time_left - deadline_reserve
+            : this->request.time_left / 2;
+    this->deadline = this->started + std::min(timeout, caller);
+    const duration round_trip = this->request.round_trip.count() > 0
+                                    ? this->request.round_trip
+                                    : duration(default_round_trip);
+    // A new connection has cost the caller one more round trip.
+    const duration on_the_way =
+        this->request.is_new_connection ? round_trip * 2 : round_trip;
+    // A repeated attempt has less time than the route allows.
+    const duration used =
+        std::max(duration(0), timeout - this->request.time_left);
+    this->cut_at = this->started + this->way->latency_objective - on_the_way -
+                   cut_reserve - used;
+}
+
+duration request_run::hedge_delay() const
+{
+    const duration latest(static_cast<duration::rep>(
+        static_cast<double>(
+            duration(this->way->latency_objective).count()) *
+        latest_hedge_share));
+    const auto seen =
+        this->engine.latencies[this->way->name].parts.quantile(hedge_quantile,
+                                                               latest);
+    return std::max(std::min(seen, latest),
+                    std::min(duration(least_hedge_delay), latest));
+}
+
+bool request_run::send_first(std::size_t index)
+{
+    const auto target = this->engine.choose(
+        this->parts[index].service, {}, this->hedge_delay());
+    return target != nullptr && this->send(index, target, false);
+}
+
+double request_run::extra_part(reason why) const
+{
+    return why == reason::hedge ? hedge_part : 1.0;
+}
+
+bool request_run::send_again(std::size_t index, reason why)
+{
+    auto& part = this->parts[index];
+    const auto now = this->engine.runtime.now();
+    if (part.tries.size() >= most_tries || now >= this->deadline)
+    {
+        return false;
+    }
+    std::vector<replica_ptr> avoid;
+    std::set<const replica*> ran_at;
+    for (const auto& attempt : part.tries)
+    {
+        if (attempt.may_have_run)
+        {
+            ran_at.insert(attempt.target.get());
+        }
+        if (attempt.may_have_run || why != reason::shed)
+        {
+            avoid.push_back(attempt.target);
+        }
+    }
+    if (ran_at.size() >= this->way->max_replicas_per_attempt)
+    {
+        return false;
+    }
+    const auto target =
+        this->engine.choose(part.service, avoid, this->hedge_delay());
+    const bool is_hopeless_hedge = why == reason::hedge && target != nullptr &&
+                                   target->health.is_suspect();
+    if (target == nullptr || is_hopeless_hedge)
+    {
+        return false;
+    }
+    const bool is_extra =
+        std::any_of(part.tries.begin(),
+                    part.tries.end(),
+                    [](const try_state& attempt)
+                    {
+                        return attempt.send != 0;
+                    });
+    if (is_extra && !this->engine.extras.try_take(
+                        part.service, now, this->extra_part(why)))
+    {
+        this->engine.counters.add(relay_counter::extras_withheld);
+        return false;
+    }
+    this->engine.counters.add(why == reason::hedge ? relay_counter::hedges
+                                                   : relay_counter::resends);
+    return this->send(index, target, is_extra);
+}
+
+bool request_run::send(std::size_t index,
+                       const replica_ptr& target,
+                       bool is_extra)
+{
+    auto& part = this->parts[index];
+    const auto now = this->engine.runtime.now();
+    const auto attempt = part.tries.size();
+    const duration left =
+        std::min(this->request.time_left - (now - this->started),
+                 this->started + duration(this->way->timeout) - now);
+    part.tries.push_back({});
+    auto& entry = part.tries.back();
+    entry.target = target;
+    entry.sent_at = now;
+    entry.is_extra = is_extra;
+    this->engine.counters.add(relay_counter::sends);
+    entry.send = this->engine.transport.send(
+        target,
+        this->request.message,
+        left,
+        [self = this->shared_from_this(), index, attempt](
+            const ports::send_outcome& outcome)
+        {
+            self->on_outcome(index, attempt, outcome);
+        });
+    target->health.on_sent(entry.send, now);
+    if (part.tries.size() == 1)
+    {
+        const bool is_stalled =
+            target->health.oldest_wait(now) > this->hedge_delay();
+        part.hedge_at =
+            now + (is_stalled ? std::min(duration(stalled_hedge_delay),
+                                         this->hedge_delay())
+                              : this->hedge_delay());
+    }
+    return true;
+}
+
+void request_run::settle(try_state& attempt,
+                         send_result result,
+                         double slowness)
+{
+    const auto now = this->engine.runtime.now();
+    attempt.is_pending = false;
+    attempt.may_have_run =
+        result == send_result::answered || result == send_result::broken ||
+        result == send_result::abandoned;
+    attempt.target->health.on_result(attempt.send, result, slowness, now);
+    if (attempt.is_extra)
+    {
+        this->engine.extras.on_settled(attempt.target->record.service, now);
+    }
+    if (result == send_result::not_sent)
+    {
+        attempt.send = 0;
+    }
+}
+
+bool request_run::is_usable(const ports::replica_answer& answer) const
+{
+    return answer.status >= 200 && answer.status < 300 &&
+           !answer.signature.empty();
+}
+
+bool request_run::is_pending(const part_state& part) const
+{
+    return std::any_of(part.tries.begin(),
+                       part.tries.end(),
+                       [](const try_state& attempt)
+                       {
+                           return attempt.is_pending;
+                       });
+}
+
+bool request_run::has_run_anywhere() const
+{
+    for (const auto& part : this->parts)
+    {
+        for (const auto& attempt : part.tries)
+        {
+            if (attempt.may_have_run)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void request_run::on_outcome(std::size_t index,
+                             std::size_t attempt,
+                             const ports::send_outcome& outcome)
+{
+    const auto now = this->engine.runtime.now();
+    auto& part = this->parts[index];
+    auto& entry = part.tries[attempt];
+    const auto taken = now - entry.sent_at;
+    auto& latency = this->engine.latencies[this->way->name].parts;
+    const auto usual = latency.mean(taken);
+    const double slowness = static_cast<double>(taken.count()) /
+                            std::max(1.0, static_cast<double>(usual.count()));
+    this->settle(entry, outcome.result, slowness);
+    if (outcome.busy_share)
+    {
+        entry.target->health.on_load(*outcome.busy_share, now);
+    }
+    if (outcome.cold_for)
+    {
+        entry.target->cold_until = now + *outcome.cold_for;
+    }
+    if (outcome.result == send_result::answered)
+    {
+        latency.add(taken);
+        this->engine.counters.parts.add(taken);
+    }
+    if (this->is_finished || part.answer)
+    {
+        return;
+    }
+    static constexpr std::array<relay_counter, 6> counted{
+        relay_counter::sends,         relay_counter::sheds,
+        relay_counter::other_replica, relay_counter::not_sent,
+        relay_counter::broken_sends,  relay_counter::abandoned_sends};
+    if (outcome.result == send_result::answered)
+    {
+        this->on_answered(index, entry, outcome);
+    }
+    else
+    {
+        this->engine.counters.add(
+            counted[static_cast<std::size_t>(outcome.result)]);
+        this->engine.log.write(
+            base::log_event::send_failed,
+            {{"request", this->request.message->id},
+             {"service", part.service},
+             {"replica", entry.target->record.id},
+             {"after_ms", ms_text(taken)},
+             {"reason", outcome.detail}});
+        const bool may_repeat =
+            this->way->is_idempotent || !entry.may_have_run;
+        const auto why = outcome.result == send_result::shed ? reason::shed
+                         : entry.may_have_run               ? reason::failed
+                                                            : reason::not_sent;
+        if (!(may_repeat && this->send_again(index, why)) &&
+            !this->is_pending(this->parts[index]))
+        {
+            this->parts[index].is_failed = true;
+        }
+    }
+    this->check_progress();
+    this->arm();
+}
+
+void request_run::on_answered(std::size_t index,
+                              try_state& attempt,
+                              const ports::send_outcome& outcome)
+{
+    auto& part = this->parts[index];
+    if (this->is_usable(outcome.answer) ||
+        (!this->way->is_search() && !this->way->is_idempotent))
+    {
+        part.answer = outcome.answer;
+        return;
+    }
+    part.failure = outcome.answer;
+    attempt.target->health.on_result(
+        0, send_result::broken, 1.0, this->engine.runtime.now());
+    if (!this->send_again(index, reason::failed) && !this->is_pending(part))
+    {
+        this->parts[index].is_failed = true;
+    }
+}
+
+void request_run::check_progress()
+{
+    if (this->is_finished || this->is_dispatching)
+    {
+        return;
+    }
+    std::size_t answered = 0;
+    std::size_t failed = 0;
+    for (const auto& part : this->parts)
+    {
+        answered += part.answer ? 1 : 0;
+        failed += !part.answer && part.is_failed ? 1 : 0;
+    }
+    const auto now = this->engine.runtime.now();
+    if (!this->way->is_search())
+    {
+        auto& part = this->parts.front();
+        if (part.answer)
+        {
+            this->answer_single(*std::exchange(part.answer, std::nullopt));
+        }
+        else if (failed > 0 && part.failure)
+        {
+            this->answer_single(*std::exchange(part.failure, std::nullopt));
+        }
+        else if (failed > 0)
+        {
+            this->fail(part.tries.empty() ? result_code::no_replica
+                                          : result_code::target_failed,
+                       "no replica answered");
+        }
+        return;
+    }
+    const auto needed = this->way->min_shards();
+    if (this->parts.size() - failed < needed)
+    {
+        this->fail(this->has_run_anywhere() ? result_code::target_failed
+                                            : result_code::no_replica,
+                   "too many shards have failed");
+    }
+    else if (answered >= needed && (answered + failed == this->parts.size() ||
+                                    now >= this->cut_at))
+    {
+        this->answer_search();
+    }
+}
+
+void request_run::arm()
+{
+    if (this->is_finished)
+    {
+        return;
+    }
+    const auto now = this->engine.runtime.now();
+    auto next = this->deadline;
+    if (this->way->is_search() && this->cut_at > now)
+    {
+        next = std::min(next, this->cut_at);
+    }
+    for (const auto& part : this->parts)
+    {
+        const bool may_hedge = this->way->is_idempotent && !part.answer &&
+                               !part.is_hedged && this->is_pending(part);
+        if (may_hedge)
+        {
+            next = std::min(next, part.hedge_at);
+        }
+    }
+    this->engine.runtime.cancel(this->timer);
+    this->timer =
+        this->engine.runtime.call_at(next,
+                                     [self = this->shared_from_this()]
+                                     {
+                                         self->timer = ports::no_timer;
+                                         self->on_timer();
+                                     });
+}
+
+void request_run::on_timer()
+{
+    if (this->is_finished)
+    {
+        return;
+    }
+    const auto now = this->engine.runtime.now();
+    if (now >= this->deadline)
+    {
+        const bool has_single_failure =
+            !this->way->is_search() && this->parts.front().failure.has_value();
+        if (has_single_failure)
+        {
+            this->answer_single(*this->parts.front().failure);
+            return;
+        }
+        std::size_t answered = 0;
+        for (const auto& part : this->parts)
+        {
+            answered += part.answer ? 1 : 0;
+        }
+        if (this->way->is_search() && answered >= this->way->min_shards())
+        {
+            this->answer_search();
+            return;
+        }
+        this->fail(result_code::deadline_expired, "no answer in time");
+        return;
+    }
+    this->is_dispatching = true;
+    for (std::size_t i = 0; i < this->parts.size(); ++i)
+    {
+        auto& part = this->parts[i];
+        const bool is_due = this->way->is_idempotent && !part.answer &&
+                            !part.is_hedged && part.hedge_at <= now &&
+                            this->is_pending(part);
+        if (is_due)
+        {
+            part.is_hedged = true;
+            this->send_again(i, reason::hedge);
+        }
+    }
+    this->is_dispatching = false;
+    this->check_progress();
+    this->arm();
+}
+
+void request_run::answer_search()
+{
+    caller_answer answer;
+    answer.is_search = true;
+    std::vector<std::string_view> bodies;
+    std::set<std::string_view> seen;
+    for (const auto& part : this->parts)
+    {
+        // A signature must not stand twice in an answer.
+        if (part.answer && seen.insert(part.answer->signature).second)
+        {
+            answer.signatures.push_back(part.answer->signature);
+            bodies.emplace_back(part.answer->body);
+        }
+    }
+    answer.missing_shards = this->parts.size() - answer.signatures.size();
+    answer.content.status = 200;
+    answer.content.body = greatest_records(bodies, this->way->result_limit);
+    if (answer.missing_shards > 0)
+    {
+        this->engine.counters.add(relay_counter::answers_partial);
+    }
+    this->finish(std::move(answer));
+}
+
+void request_run::answer_single(ports::replica_answer content)
+{
+    caller_answer answer;
+    answer.content = std::move(content);
+    this->finish(std::move(answer));
+}
+
+void request_run::fail(result_code code, std::string detail)
+{
+    caller_answer answer;
+    answer.code = code;
+    answer.detail = std::move(detail);
+    // A send that may still arrive at a replica is no proof either.
+    answer.is_not_run = !this->has_run_anywhere();
+    answer.retry_after = retry_pause;
+    this->finish(std::move(answer));
+}
+
+void request_run::release_pending(bool now)
+{
+    const auto reset = [self = this->shared_from_this()]
+    {
+        for (auto& part : self->parts)
+        {
+            for (auto& attempt : part.tries)
+            {
+                if (attempt.is_pending)
+                {
+                    self->engine.transport.cancel(attempt.send);
+                    self->settle(attempt, send_result::abandoned, 1.0);
+                }
+            }
+        }
+    };
+    if (now)
+    {
+        reset();
+        return;
+    }
+    this->engine.runtime.call_after(gone_grace, reset);
+}
+
+void request_run::on_caller_gone()
+{
+    if (this->is_finished)
+    {
+        return;
+    }
+    this->engine.counters.add(relay_counter::callers_gone);
+    this->is_finished = true;
+    this->engine.runtime.cancel(this->timer);
+    this->release_pending(false);
+    this->engine.log.write(base::log_event::caller_gone,
+                           {{"request", this->request.message->id}});
+    this->engine.forget(this->number);
+}
+
+void request_run::finish(caller_answer answer)
+{
+    this->is_finished = true;
+    this->engine.runtime.cancel(this->timer);
+    const auto now = this->engine.runtime.now();
+    const auto taken = now - this->started;
+    auto& counters = this->engine.counters;
+    counters.answers.add(taken);
+    const bool is_ok = answer.code == result_code::ok;
+    counters.add(is_ok               ? relay_counter::answers_ok
+                 : answer.is_not_run ? relay_counter::refusals
+                                     : relay_counter::answers_failed);
+    std::size_t sends = 0;
+    for (const auto& part : this->parts)
+    {
+        sends += part.tries.size();
+    }
+    this->engine.log.write(
+        base::log_event::request_answered,
+        {{"request", this->request.message->id},
+         {"route", this->way == nullptr ? "-" : this->way->name},
+         {"config",
+          this->config == nullptr ? "-" : std::to_string(this->config->version)},
+         {"code", std::string(base::name_of(answer.code))},
+         {"status", std::to_string(answer.content.status)},
+         {"parts", std::to_string(this->parts.size())},
+         {"missing", std::to_string(answer.missing_shards)},
+         {"sends", std::to_string(sends)},
+         {"caller_ms", ms_text(this->request.time_left)},
+         {"round_trip_us", std::to_string(this->request.round_trip.count())},
+         {"taken_ms", ms_text(taken)}});
+    const bool is_late = this->way != nullptr &&
+                         taken > duration(this->way->latency_objective);
+    if (is_late)
+    {
+        counters.add(relay_counter::answers_late);
+    }
+    // Losers of hedges finish by themselves, which keeps their connections;
+    // what is past its deadline is stopped by the replica.
+    const auto handler = std::exchange(this->done, nullptr);
+    this->engine.forget(this->number);
+    if (!this->parts.empty())
+    {
+        const auto linger =
+            std::max(duration(gone_grace), this->deadline - now + gone_grace);
+        this->engine.runtime.call_after(linger,
+                                        [self = this->shared_from_this()]
+                                        {
+                                            self->release_pending(true);
+                                        });
+    }
+    handler(std::move(answer));
+}
+
+} // namespace hawthornrelay::core::relay
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,6 +24,13 @@
             "hawthornrelay serve --settings=FILE\n\n"
             "Runs until SIGTERM, then stops without cutting a request.\n",
             hawthornrelay::commands::serve},
+    command{"relay",
+            "run one node on the users' platform",
+            "hawthornrelay relay [FILE]\n\n"
+            "Reads its settings from FILE, or from the file that the "
+            "environment names.\n"
+            "Runs until SIGTERM, then stops without cutting a request.\n",
+            hawthornrelay::commands::relay},
     command{"check-settings",
             "check a settings file",
             "hawthornrelay check-settings FILE\n\n"
