--- a/src/adapters/relay/replica_link.cpp
+++ b/src/adapters/relay/replica_link.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <utility>
 
-#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
 
 #include <adapters/asio/listener.hpp>
 #include <platform/replica_wire.hpp>
@@ -112,12 +112,16 @@
         this->current->stops_at - std::chrono::steady_clock::now());
     if (left.count() <= 0)
     {
-        // The connection is still good for others.
-        ports::send_outcome outcome;
-        outcome.result = send_result::not_sent;
-        outcome.detail = "no time left";
+        // Connecting took all the time. The connection is good for others.
         this->rest();
-        this->finish(std::move(outcome));
+        boost::asio::post(this->socket.get_executor(),
+                          [self = this->shared_from_this()]
+                          {
+                              ports::send_outcome outcome;
+                              outcome.result = send_result::not_sent;
+                              outcome.detail = "no time left";
+                              self->finish(std::move(outcome));
+                          });
         return;
     }
     this->begin_message();
--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <adapters/asio/listener.hpp>
 #include <adapters/relay/replica_link.hpp>
 
@@ -19,6 +22,9 @@
 /// Connections to a replica of a service without a stated bound.
 constexpr std::size_t default_connections = 8;
 
+/// A replica is told whole milliseconds.
+constexpr std::chrono::milliseconds least_time_left{1};
+
 /// A health check without an answer in this time has failed.
 constexpr std::chrono::milliseconds probe_timeout{250};
 
@@ -121,6 +127,21 @@
                    handler done)
 {
     const auto number = this->next_send++;
+    // Handlers run after this function has returned, whatever the outcome.
+    const auto refuse = [&](std::string reason)
+    {
+        boost::asio::post(
+            this->io,
+            [done = std::move(done), reason = std::move(reason)]
+            {
+                done(not_sent(reason));
+            });
+        return number;
+    };
+    if (time_left < least_time_left)
+    {
+        return refuse("no time left");
+    }
     auto& place = this->entries[to.get()];
     place.target = to;
     auto link = this->take_idle(place, request->id);
@@ -130,12 +151,7 @@
     }
     if (link == nullptr)
     {
-        boost::asio::post(this->io,
-                          [done = std::move(done)]
-                          {
-                              done(not_sent("no connection left"));
-                          });
-        return number;
+        return refuse("no connection left");
     }
     this->sends[number] = link;
     replica_link::job work;
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -37,6 +37,9 @@
 /// Time for a final answer to reach the caller before its deadline.
 constexpr std::chrono::milliseconds deadline_reserve{8};
 
+/// A request with less time is refused at once.
+constexpr std::chrono::milliseconds least_time_left{2};
+
 /// Sends of one part, rejected ones included.
 constexpr std::size_t most_tries = 6;
 
@@ -77,6 +80,11 @@
     {
         return;
     }
+    if (this->request.time_left < least_time_left)
+    {
+        this->fail(result_code::deadline_expired, "no time left");
+        return;
+    }
     this->plan_times();
     this->is_dispatching = true;
     for (std::size_t i = 0; i < this->parts.size(); ++i)
@@ -225,6 +233,7 @@
     auto& part = this->parts[index];
     const auto now = this->engine.runtime.now();
     const auto attempt = part.tries.size();
+    part.tries.reserve(most_tries);
     const duration left =
         std::min(this->request.time_left - (now - this->started),
                  this->started + duration(this->way->timeout) - now);
