Name nodes of the caller's zone in the directory

Cause: callers in one zone used nodes in another, a round trip of 4.8 ms where 2.0 ms do (measured per connection).

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -13,6 +13,7 @@
 #include <adapters/relay/beacon.hpp>
 #include <adapters/relay/metrics_page.hpp>
 #include <adapters/relay/replica_pool.hpp>
+#include <core/relay/entry_choice.hpp>
 #include <core/relay/node_directory.hpp>
 #include <core/relay/request_engine.hpp>
 #include <core/relay/store_follower.hpp>
@@ -442,6 +443,7 @@
                         {{"replica", id},
                          {"service", record->service},
                          {"address", record->address},
+                         {"zone", record->zone},
                          {"state", record->is_draining ? "draining" : "ready"},
                          {"revision", std::to_string(item.revision)}});
     }
@@ -633,7 +635,9 @@
     }
     this->engine.counters.add(relay_counter::directory_answers);
     std::vector<std::string> addresses;
-    for (const auto& item : this->nodes.usable(this->runtime.now()))
+    const auto usable = core::relay::choose_entries(
+        this->nodes.usable(this->runtime.now()), question->zone);
+    for (const auto& item : usable)
     {
         addresses.push_back(item.callers);
     }
