Let two nodes read the store and the others follow them

Change: a mirror of the store in each node, served to others by list and watch; readers are chosen from names and zones, and any node reads itself when no reader is up to date. Nodes without a configuration are not named to callers.

--- a/src/adapters/relay/beacon.cpp
+++ b/src/adapters/relay/beacon.cpp
@@ -1,5 +1,8 @@
 #include <adapters/relay/beacon.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <limits>
 #include <utility>
 
 #include <schemas/generated/relay_generated.h>
@@ -21,6 +24,15 @@
     return from == nullptr ? std::string() : from->str();
 }
 
+std::uint32_t store_age_ms(const core::relay::node_record& record)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        record.store_age);
+    return static_cast<std::uint32_t>(
+        std::clamp<std::chrono::milliseconds::rep>(
+            age.count(), 0, std::numeric_limits<std::int32_t>::max()));
+}
+
 core::base::result<udp::endpoint> parse(const std::string& address)
 {
     return asio::parse_endpoint(address).map(
@@ -77,7 +89,10 @@
                                                self.zone.c_str(),
                                                self.callers.c_str(),
                                                self.peers.c_str(),
-                                               self.is_stopping));
+                                               self.is_stopping,
+                                               self.is_ready,
+                                               self.reads_store,
+                                               store_age_ms(self)));
     boost::system::error_code ignored;
     this->socket.send_to(
         boost::asio::buffer(builder.GetBufferPointer(), builder.GetSize()),
@@ -120,6 +135,9 @@
     record.callers = text(message->callers());
     record.peers = text(message->peers());
     record.is_stopping = message->stopping();
+    record.is_ready = message->ready();
+    record.reads_store = message->reads_store();
+    record.store_age = std::chrono::milliseconds(message->store_age_ms());
     if (!record.name.empty())
     {
         this->on_heard(record);
--- /dev/null
+++ b/src/adapters/relay/peer_feed.cpp
@@ -0,0 +1,228 @@
+#include <adapters/relay/peer_feed.hpp>
+
+#include <charconv>
+#include <map>
+#include <utility>
+
+#include <schemas/generated/relay_generated.h>
+
+namespace hawthornrelay::adapters::relay
+{
+
+using core::base::fail;
+using core::base::result;
+using core::base::result_code;
+using ports::store_page;
+
+namespace
+{
+
+constexpr std::string_view list_target = "/list";
+constexpr std::string_view watch_target = "/watch?after=";
+constexpr std::string_view wait_field = "wait-ms";
+
+constexpr unsigned gone = 410;
+constexpr unsigned unavailable = 503;
+
+/// Longest wait for an answer beyond that which was asked for.
+constexpr std::chrono::milliseconds answer_timeout{600};
+
+std::uint64_t number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string encode(const store_page& page)
+{
+    flatbuffers::FlatBufferBuilder builder(1024);
+    std::vector<flatbuffers::Offset<schemas::StoreItem>> items;
+    for (const auto& item : page.items)
+    {
+        const auto key = builder.CreateString(item.key);
+        const auto value = builder.CreateString(item.value);
+        items.push_back(schemas::CreateStoreItem(builder,
+                                                 key,
+                                                 value,
+                                                 item.revision,
+                                                 item.is_removed,
+                                                 item.may_have_lapsed));
+    }
+    builder.Finish(schemas::CreateStorePageDirect(
+        builder, &items, page.revision));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+            builder.GetSize()};
+}
+
+result<store_page> decode(const std::string& body)
+{
+    const auto* bytes = reinterpret_cast<const std::uint8_t*>(body.data());
+    flatbuffers::Verifier verifier(bytes, body.size());
+    if (!verifier.VerifyBuffer<schemas::StorePage>(nullptr))
+    {
+        return fail(result_code::frame_malformed, "page of another node");
+    }
+    const auto* from = flatbuffers::GetRoot<schemas::StorePage>(bytes);
+    store_page page;
+    page.revision = from->revision();
+    if (from->items() == nullptr)
+    {
+        return page;
+    }
+    for (const auto* item : *from->items())
+    {
+        if (item->key() != nullptr && item->value() != nullptr)
+        {
+            page.items.push_back({item->key()->str(),
+                                  item->value()->str(),
+                                  item->revision(),
+                                  item->removed(),
+                                  item->may_have_lapsed()});
+        }
+    }
+    return page;
+}
+
+http::response page_response(const store_page& page)
+{
+    http::response reply;
+    reply.content_type = "application/octet-stream";
+    reply.body = encode(page);
+    return reply;
+}
+
+http::response status_response(unsigned status)
+{
+    http::response reply;
+    reply.status = status;
+    return reply;
+}
+
+} // namespace
+
+peer_feed::peer_feed(ports::runtime& runtime,
+                     const core::relay::store_mirror& mirror)
+    : runtime(runtime), mirror(mirror)
+{
+}
+
+void peer_feed::handle(const http::request& message,
+                       const http::responder& respond)
+{
+    if (!this->mirror.is_complete())
+    {
+        respond(status_response(unavailable));
+        return;
+    }
+    if (message.target == list_target)
+    {
+        respond(page_response(this->mirror.listing()));
+        return;
+    }
+    if (!message.target.starts_with(watch_target))
+    {
+        respond(status_response(404));
+        return;
+    }
+    const waiter asked{
+        number(std::string_view(message.target).substr(watch_target.size())),
+        respond};
+    const auto changes = this->mirror.changes_since(asked.after);
+    if (!changes || !changes->items.empty())
+    {
+        this->answer(asked);
+        return;
+    }
+    const auto id = this->next_waiter++;
+    this->waiting[id] = asked;
+    const std::chrono::milliseconds wait(
+        number(http::header(message.headers, wait_field)));
+    this->runtime.call_after(wait,
+                             [this, id]
+                             {
+                                 const auto found = this->waiting.find(id);
+                                 if (found != this->waiting.end())
+                                 {
+                                     const auto item = found->second;
+                                     this->waiting.erase(found);
+                                     this->answer(item);
+                                 }
+                             });
+}
+
+void peer_feed::on_change()
+{
+    const auto answered = std::exchange(this->waiting, {});
+    for (const auto& [id, item] : answered)
+    {
+        this->answer(item);
+    }
+}
+
+void peer_feed::answer(const waiter& waiting)
+{
+    const auto changes = this->mirror.changes_since(waiting.after);
+    waiting.respond(changes ? page_response(*changes) : status_response(gone));
+}
+
+peer_reader::peer_reader(boost::asio::io_context& io, std::string address)
+    : io(io), address(std::move(address))
+{
+}
+
+void peer_reader::list(const std::string& /*after*/,
+                       ports::store_handler<store_page> done)
+{
+    this->call(std::string(list_target),
+               std::chrono::milliseconds(0),
+               std::move(done));
+}
+
+void peer_reader::watch(std::uint64_t after,
+                        std::chrono::milliseconds wait,
+                        ports::store_handler<store_page> done)
+{
+    this->call(std::string(watch_target) + std::to_string(after),
+               wait,
+               std::move(done));
+}
+
+void peer_reader::call(std::string target,
+                       std::chrono::milliseconds wait,
+                       ports::store_handler<store_page> done)
+{
+    if (this->link == nullptr || !this->link->is_open())
+    {
+        this->link = http::connection::create(this->io, this->address);
+    }
+    http::request message;
+    message.target = std::move(target);
+    message.headers[std::string(wait_field)] = std::to_string(wait.count());
+    this->link->send(
+        std::move(message),
+        wait + answer_timeout,
+        [done = std::move(done)](const result<http::response>& answer)
+        {
+            if (!answer)
+            {
+                done(fail(result_code::platform_unreachable,
+                          answer.error().detail));
+            }
+            else if (answer->status == gone)
+            {
+                done(fail(result_code::history_gone, "node has listed again"));
+            }
+            else if (answer->status != 200)
+            {
+                done(fail(result_code::platform_unreachable,
+                          "status " + std::to_string(answer->status)));
+            }
+            else
+            {
+                done(decode(answer->body));
+            }
+        });
+}
+
+} // namespace hawthornrelay::adapters::relay
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -12,11 +12,15 @@
 #include <adapters/log/stdout_log.hpp>
 #include <adapters/relay/beacon.hpp>
 #include <adapters/relay/metrics_page.hpp>
+#include <adapters/relay/peer_feed.hpp>
 #include <adapters/relay/replica_pool.hpp>
 #include <core/relay/entry_choice.hpp>
 #include <core/relay/node_directory.hpp>
+#include <core/relay/node_lease.hpp>
 #include <core/relay/request_engine.hpp>
+#include <core/relay/source_choice.hpp>
 #include <core/relay/store_follower.hpp>
+#include <core/relay/store_mirror.hpp>
 #include <platform/caller_wire.hpp>
 #include <platform/decode.hpp>
 #include <platform/names.hpp>
@@ -44,6 +48,9 @@
 /// Interval of keeping connections open and checking suspect replicas.
 constexpr std::chrono::milliseconds upkeep_interval{250};
 
+/// Calls of a reader that is not followed any more have ended by then.
+constexpr std::chrono::seconds former_reader_time{10};
+
 /// How long callers keep an answer of the directory.
 constexpr std::chrono::seconds address_ttl{1};
 
@@ -150,12 +157,27 @@
                 {
                     this->on_heard(record);
                 }),
+          mirror(
+              [this](const ports::store_item& item)
+              {
+                  this->on_item(item);
+              }),
+          feed(this->runtime, this->mirror),
           follower(this->runtime,
-                   this->store,
-                   this->store_handlers(),
-                   std::string(names::node_prefix) + this->settings.node_name,
-                   write_node_entry(this->nodes.self()),
-                   this->settings.shortest_lease)
+                   this->mirror,
+                   [this](bool is_reachable, const std::string& reason)
+                   {
+                       this->on_source_reach(is_reachable, reason);
+                   }),
+          lease(this->runtime,
+                this->store,
+                std::string(names::node_prefix) + this->settings.node_name,
+                write_node_entry(this->nodes.self()),
+                this->settings.shortest_lease,
+                [this](bool is_reachable, const std::string& reason)
+                {
+                    this->on_store_reach(is_reachable, reason);
+                })
     {
     }
 
@@ -172,7 +194,8 @@
              {"callers", this->settings.callers.text()},
              {"run", std::to_string(this->nodes.self().run)},
              {"first_start", this->settings.is_first_start ? "1" : "0"}});
-        this->follower.start();
+        this->follower.follow(this->store);
+        this->lease.start();
         this->tell_others();
         this->upkeep();
         return {};
@@ -186,17 +209,18 @@
     result<std::unique_ptr<http::server>>
     open(const core::relay::socket_address& address,
          http::server_handlers handlers);
-    core::relay::store_events store_handlers();
-    void on_item(const ports::store_item& item, bool may_have_lapsed);
+    void on_source_reach(bool is_reachable, const std::string& reason);
+    void on_store_reach(bool is_reachable, const std::string& reason);
+    void on_item(const ports::store_item& item);
     void on_configuration(const ports::store_item& item);
-    void on_replica(const std::string& id,
-                    const ports::store_item& item,
-                    bool may_have_lapsed);
+    void on_replica(const std::string& id, const ports::store_item& item);
     void on_node(const std::string& name, const ports::store_item& item);
-    void on_listing(const std::set<std::string>& keys, bool may_have_lapsed);
     void on_heard(const node_record& record);
     void share_bounds();
+    void update_self();
+    void choose_source();
     void tell_others();
+    void send_beacons();
     void upkeep();
     void serve_caller(http::request message, const http::responder& respond);
     void serve_directory(const http::request& message,
@@ -217,11 +241,20 @@
     platform::store_client store;
     core::relay::node_directory nodes;
     beacon peers;
+    core::relay::store_mirror mirror;
+    peer_feed feed;
     core::relay::store_follower follower;
+    core::relay::node_lease lease;
+    std::string followed;
+    std::unique_ptr<peer_reader> followed_reader;
+    /// Calls under way may still use a reader that is not followed any more.
+    std::vector<std::unique_ptr<peer_reader>> former_readers;
+    bool is_feed_due = false;
     std::unique_ptr<http::server> callers;
     std::unique_ptr<http::server> readiness;
     std::unique_ptr<http::server> directory;
     std::unique_ptr<http::server> metrics;
+    std::unique_ptr<http::server> feed_server;
     std::map<std::uint64_t, std::uint64_t> runs_by_exchange;
     std::set<std::string> suspects;
     bool is_stopping = false;
@@ -286,6 +319,12 @@
                                    this->log.dropped());
         respond(std::move(reply));
     };
+    http::server_handlers for_feed;
+    for_feed.on_request =
+        [this](const http::request& message, const http::responder& respond)
+    {
+        this->feed.handle(message, respond);
+    };
     const auto opened_peers = this->peers.open(this->settings.peers.text());
     if (!opened_peers)
     {
@@ -300,6 +339,12 @@
     };
     return this->open(this->settings.metrics, std::move(for_metrics))
         .map(keep(this->metrics))
+        .and_then(
+            [&]
+            {
+                return this->open(this->settings.peers, std::move(for_feed))
+                    .map(keep(this->feed_server));
+            })
         .and_then(
             [&]
             {
@@ -323,37 +368,28 @@
             });
 }
 
-core::relay::store_events node::store_handlers()
+void node::on_store_reach(bool is_reachable, const std::string& reason)
 {
-    core::relay::store_events events;
-    events.on_item =
-        [this](const ports::store_item& item, bool may_have_lapsed)
-    {
-        this->on_item(item, may_have_lapsed);
-    };
-    events.on_listing =
-        [this](const std::set<std::string>& keys, bool may_have_lapsed)
+    if (is_reachable)
     {
-        this->on_listing(keys, may_have_lapsed);
-    };
-    events.on_listed = [this]
-    {
-        this->upkeep();
-    };
-    events.on_reach = [this](bool is_reachable, const std::string& reason)
-    {
-        if (is_reachable)
-        {
-            this->log.write(log_event::store_regained, {});
-            return;
-        }
-        this->engine.counters.add(relay_counter::store_failures);
-        this->log.write(log_event::store_lost, {{"reason", reason}});
-    };
-    return events;
+        this->log.write(log_event::store_regained, {});
+        return;
+    }
+    this->follower.note_trouble();
+    this->engine.counters.add(relay_counter::store_failures);
+    this->log.write(log_event::store_lost, {{"reason", reason}});
+}
+
+void node::on_source_reach(bool is_reachable, const std::string& reason)
+{
+    this->log.write(is_reachable ? log_event::source_regained
+                                 : log_event::source_lost,
+                    {{"source", this->followed.empty() ? "store" : this->followed},
+                     {"revision", std::to_string(this->mirror.revision())},
+                     {"reason", reason}});
 }
 
-void node::on_item(const ports::store_item& item, bool may_have_lapsed)
+void node::on_item(const ports::store_item& item)
 {
     if (item.key == names::configuration_key)
     {
@@ -369,12 +405,24 @@
     }
     else if (const auto id = after_prefix(item.key, names::replica_prefix))
     {
-        this->on_replica(*id, item, may_have_lapsed);
+        this->on_replica(*id, item);
     }
     else if (const auto name = after_prefix(item.key, names::node_prefix))
     {
         this->on_node(*name, item);
     }
+    if (!this->is_feed_due)
+    {
+        // One answer carries all changes that came together.
+        this->is_feed_due = true;
+        this->runtime.call_after(core::base::duration(0),
+                                 [this]
+                                 {
+                                     this->is_feed_due = false;
+                                     this->feed.on_change();
+                                     this->upkeep();
+                                 });
+    }
 }
 
 void node::on_configuration(const ports::store_item& item)
@@ -413,16 +461,14 @@
                      {"routes", std::to_string(config->routes.size())}});
 }
 
-void node::on_replica(const std::string& id,
-                      const ports::store_item& item,
-                      bool may_have_lapsed)
+void node::on_replica(const std::string& id, const ports::store_item& item)
 {
     const auto now = this->runtime.now();
     if (item.is_removed)
     {
-        if (this->engine.registry.remove(id, may_have_lapsed, now))
+        if (this->engine.registry.remove(id, item.may_have_lapsed, now))
         {
-            this->log.write(may_have_lapsed ? log_event::replica_lapsing
+            this->log.write(item.may_have_lapsed ? log_event::replica_lapsing
                                             : log_event::replica_removed,
                             {{"replica", id},
                              {"revision", std::to_string(item.revision)}});
@@ -474,41 +520,6 @@
     this->share_bounds();
 }
 
-void node::on_listing(const std::set<std::string>& keys, bool may_have_lapsed)
-{
-    const auto now = this->runtime.now();
-    std::vector<std::string> gone;
-    for (const auto& [id, known] : this->engine.registry.all())
-    {
-        if (!keys.contains(std::string(names::replica_prefix) + id))
-        {
-            gone.push_back(id);
-        }
-    }
-    for (const auto& id : gone)
-    {
-        this->engine.registry.remove(id, may_have_lapsed, now);
-        this->log.write(log_event::replica_removed,
-                        {{"replica", id}, {"reason", "not listed"}});
-    }
-    const auto zones = this->engine.registry.zones_out();
-    for (const auto& zone : zones)
-    {
-        if (!keys.contains(std::string(names::zone_out_prefix) + zone))
-        {
-            this->engine.registry.set_zone_out(zone, false);
-            this->log.write(log_event::zone_back, {{"zone", zone}});
-        }
-    }
-    for (const auto& other : this->nodes.others())
-    {
-        if (!keys.contains(std::string(names::node_prefix) + other.name))
-        {
-            this->nodes.on_unlisted(other.name, now);
-        }
-    }
-}
-
 void node::on_heard(const node_record& record)
 {
     if (this->nodes.on_heard(record, this->runtime.now()))
@@ -524,12 +535,67 @@
     this->pool.set_bounds(this->engine.configuration_in_force(), count);
 }
 
-void node::tell_others()
+void node::update_self()
 {
-    for (const auto& other : this->nodes.others())
+    const auto now = this->runtime.now();
+    auto& self = this->nodes.self_to_change();
+    self.is_stopping = this->is_stopping;
+    self.is_ready = this->is_ready();
+    self.reads_store = this->followed.empty();
+    // A renewed lease shows that the path to the store is whole.
+    const auto known_at =
+        std::max(this->follower.answered_at(), this->lease.answered_at());
+    self.store_age = now - known_at;
+}
+
+void node::choose_source()
+{
+    const auto heard = this->nodes.heard(this->runtime.now());
+    const bool may_read = this->lease.is_reachable() &&
+                          (this->follower.is_reachable() ||
+                           !this->followed.empty());
+    const auto chosen = core::relay::choose_source(
+        this->nodes.self(), may_read, heard, this->followed);
+    const auto name = chosen.value_or("");
+    if (name == this->followed)
+    {
+        return;
+    }
+    this->followed = name;
+    this->log.write(log_event::source_chosen,
+                    {{"source", name.empty() ? "store" : name},
+                     {"revision", std::to_string(this->mirror.revision())}});
+    if (this->followed_reader != nullptr)
     {
-        this->peers.send(other.peers, this->nodes.self());
+        this->former_readers.push_back(std::move(this->followed_reader));
+        this->runtime.call_after(former_reader_time,
+                                 [this]
+                                 {
+                                     this->former_readers.erase(
+                                         this->former_readers.begin());
+                                 });
     }
+    if (name.empty())
+    {
+        this->follower.follow(this->store);
+        return;
+    }
+    const auto found = std::find_if(heard.begin(),
+                                    heard.end(),
+                                    [&](const node_record& record)
+                                    {
+                                        return record.name == name;
+                                    });
+    this->followed_reader =
+        std::make_unique<peer_reader>(this->io, found->peers);
+    this->follower.follow(*this->followed_reader);
+}
+
+void node::tell_others()
+{
+    this->update_self();
+    this->choose_source();
+    this->send_beacons();
     this->runtime.call_after(beacon_interval,
                              [this]
                              {
@@ -537,6 +603,26 @@
                              });
 }
 
+void node::send_beacons()
+{
+    std::set<std::string> addresses;
+    for (const auto& other : this->nodes.others())
+    {
+        addresses.insert(other.peers);
+    }
+    // A node that the store refuses finds others by its seeds.
+    const bool needs_seeds = addresses.empty() || !this->mirror.is_complete();
+    if (needs_seeds)
+    {
+        addresses.insert(this->settings.seeds.begin(),
+                         this->settings.seeds.end());
+    }
+    for (const auto& address : addresses)
+    {
+        this->peers.send(address, this->nodes.self());
+    }
+}
+
 void node::upkeep()
 {
     const auto now = this->runtime.now();
@@ -675,12 +761,9 @@
     this->is_stopping = true;
     this->log.write(log_event::relay_stopping,
                     {{"active", std::to_string(this->engine.active())}});
-    this->nodes.stop();
-    this->follower.stop();
-    for (const auto& other : this->nodes.others())
-    {
-        this->peers.send(other.peers, this->nodes.self());
-    }
+    this->update_self();
+    this->lease.stop();
+    this->send_beacons();
     this->callers->drain();
     const auto now = this->runtime.now();
     const auto part = [this](double share)
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -82,9 +82,17 @@
     return was_silent;
 }
 
-void node_directory::stop()
+std::vector<node_record> node_directory::heard(time_point now) const
 {
-    this->own.is_stopping = true;
+    std::vector<node_record> result;
+    for (const auto& [name, item] : this->entries)
+    {
+        if (this->is_heard(item, now))
+        {
+            result.push_back(item.record);
+        }
+    }
+    return result;
 }
 
 bool node_directory::is_heard(const entry& item, time_point now) const
@@ -96,7 +104,7 @@
 {
     std::vector<node_record> heard;
     std::vector<node_record> listed;
-    if (!this->own.is_stopping)
+    if (!this->own.is_stopping && this->own.is_ready)
     {
         heard.push_back(this->own);
         listed.push_back(this->own);
@@ -109,7 +117,9 @@
         }
         const bool is_starting =
             item.is_listed && !item.was_heard && now - item.listed_at < first_word;
-        if (this->is_heard(item, now) || is_starting)
+        const bool may_serve =
+            this->is_heard(item, now) ? item.record.is_ready : is_starting;
+        if (may_serve)
         {
             heard.push_back(item.record);
         }
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -19,8 +19,11 @@
     std::uint64_t run = 0; ///< a later run of the node has a greater number
     std::string zone;
     std::string callers; ///< `ip:port` for callers
-    std::string peers;   ///< `ip:port` for other nodes
+    std::string peers;   ///< `ip:port` for other nodes, over UDP and TCP
     bool is_stopping = false;
+    bool is_ready = false;    ///< it has a configuration
+    bool reads_store = false; ///< it follows the store itself
+    base::duration store_age{}; ///< since it knew the store's state
 };
 
 /// @brief Merges the store's list of nodes with what nodes tell each other.
@@ -42,8 +45,11 @@
     /// @return true if the node had been silent
     bool on_heard(const node_record& record, base::time_point now);
 
-    /// @brief Marks this node as stopping.
-    void stop();
+    /// @brief Changes this node's own record.
+    node_record& self_to_change()
+    {
+        return this->own;
+    }
 
     /// @brief This node's own record.
     [[nodiscard]] const node_record& self() const
@@ -51,7 +57,10 @@
         return this->own;
     }
 
-    /// @brief Nodes that callers may use, this one included unless it stops.
+    /// @brief Nodes that are heard, this one not included.
+    [[nodiscard]] std::vector<node_record> heard(base::time_point now) const;
+
+    /// @brief Nodes that callers may use, this one included if it may be.
     [[nodiscard]] std::vector<node_record> usable(base::time_point now) const;
 
     /// @brief Other nodes, for sending to them.
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -31,7 +31,8 @@
     socket_address callers;   ///< where requests arrive
     socket_address readiness; ///< where the platform asks for readiness
     socket_address directory; ///< where callers ask which addresses to use
-    socket_address peers;     ///< UDP, between nodes
+    socket_address peers;     ///< between nodes, over UDP and TCP
+    std::vector<std::string> seeds; ///< `ip:port` of some nodes; may be stale
     socket_address metrics;
     socket_address store;
     bool is_first_start = false; ///< the whole system starts for the first time
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -82,30 +82,6 @@
     this->remove(id, false, now);
 }
 
-void replica_registry::replace_all(const std::vector<replica_record>& records,
-                                   bool may_have_lapsed,
-                                   time_point now)
-{
-    std::set<std::string> listed;
-    for (const auto& record : records)
-    {
-        listed.insert(record.id);
-        this->put(record, now);
-    }
-    std::vector<std::string> missing;
-    for (const auto& [id, known] : this->replicas)
-    {
-        if (!listed.contains(id) && !this->lapsing.contains(id))
-        {
-            missing.push_back(id);
-        }
-    }
-    for (const auto& id : missing)
-    {
-        this->remove(id, may_have_lapsed, now);
-    }
-}
-
 std::vector<std::string> replica_registry::expire(time_point now)
 {
     std::vector<std::string> ended;
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -50,13 +50,6 @@
     /// @brief Notes that an entry cannot be decoded: it names no replica.
     void put_unreadable(const std::string& id, base::time_point now);
 
-    /// @brief Replaces everything by a complete listing.
-    /// @param records all registrations
-    /// @param may_have_lapsed as for remove()
-    void replace_all(const std::vector<replica_record>& records,
-                     bool may_have_lapsed,
-                     base::time_point now);
-
     /// @brief Removes replicas whose grace time has ended.
     /// @return the ids that were removed
     std::vector<std::string> expire(base::time_point now);
@@ -64,12 +57,6 @@
     /// @brief Takes a zone out or back.
     void set_zone_out(const std::string& zone, bool is_out);
 
-    /// @brief Zones that are taken out.
-    [[nodiscard]] const std::set<std::string, std::less<>>& zones_out() const
-    {
-        return this->out;
-    }
-
     /// @brief Replicas of a service that may get new work.
     [[nodiscard]] std::vector<replica_ptr>
     usable(const std::string& service) const;
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -389,6 +389,7 @@
         (!this->way->is_search() && !this->way->is_idempotent))
     {
         part.answer = outcome.answer;
+        part.answered_at = this->engine.runtime.now();
         return;
     }
     part.failure = outcome.answer;
@@ -607,6 +608,32 @@
     this->engine.forget(this->number);
 }
 
+std::string request_run::describe_stragglers() const
+{
+    std::string text;
+    const auto late = this->started + this->hedge_delay() * 2;
+    for (const auto& part : this->parts)
+    {
+        if (part.answer && part.answered_at <= late)
+        {
+            continue;
+        }
+        text += text.empty() ? "" : ";";
+        text += part.service + (part.answer ? "+" : "-");
+        for (const auto& attempt : part.tries)
+        {
+            text += "," + attempt.target->record.id + "@" +
+                    ms_text(attempt.sent_at - this->started) +
+                    (attempt.is_pending ? "?" : "");
+        }
+        if (part.answer)
+        {
+            text += ":" + ms_text(part.answered_at - this->started);
+        }
+    }
+    return text;
+}
+
 void request_run::finish(caller_answer answer)
 {
     this->is_finished = true;
@@ -637,6 +664,8 @@
          {"sends", std::to_string(sends)},
          {"caller_ms", ms_text(this->request.time_left)},
          {"round_trip_us", std::to_string(this->request.round_trip.count())},
+         {"stragglers",
+          this->way == nullptr ? "" : this->describe_stragglers()},
          {"taken_ms", ms_text(taken)}});
     const bool is_late = this->way != nullptr &&
                          taken > duration(this->way->latency_objective);
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -50,6 +50,7 @@
         bool is_failed = false; ///< no answer will come
         bool is_hedged = false;
         base::time_point hedge_at{};
+        base::time_point answered_at{};
     };
 
     /// Why a part is sent once more.
@@ -86,6 +87,7 @@
     void fail(base::result_code code, std::string detail);
     void finish(caller_answer answer);
     void release_pending(bool now);
+    [[nodiscard]] std::string describe_stragglers() const;
 
     request_engine& engine;
     std::uint64_t number;
--- /dev/null
+++ b/src/core/relay/store_mirror.cpp
@@ -0,0 +1,121 @@
+#include <core/relay/store_mirror.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace hawthornrelay::core::relay
+{
+
+namespace
+{
+
+/// Changes that are kept for other nodes; those further behind list again.
+constexpr std::size_t most_history = 2000;
+
+} // namespace
+
+store_mirror::store_mirror(
+    std::function<void(const ports::store_item&)> on_change)
+    : on_change(std::move(on_change))
+{
+}
+
+void store_mirror::apply_changes(const ports::store_page& page)
+{
+    for (const auto& item : page.items)
+    {
+        this->apply(item);
+    }
+    this->known = std::max(this->known, page.revision);
+}
+
+void store_mirror::apply_listing(const std::vector<ports::store_item>& listed,
+                                 std::uint64_t revision,
+                                 bool may_have_lapsed)
+{
+    std::set<std::string> named;
+    for (const auto& item : listed)
+    {
+        named.insert(item.key);
+        this->apply(item);
+    }
+    std::vector<ports::store_item> removals;
+    for (const auto& [key, item] : this->items)
+    {
+        const bool is_gone = !item.is_removed && item.revision <= revision &&
+                             !named.contains(key);
+        if (is_gone)
+        {
+            removals.push_back({key, {}, revision, true, may_have_lapsed});
+        }
+    }
+    for (const auto& removal : removals)
+    {
+        this->apply(removal);
+    }
+    if (revision > this->known || !this->has_listing)
+    {
+        // The listing names no intermediate changes.
+        this->history.clear();
+        this->history_begins = revision;
+        this->known = std::max(this->known, revision);
+    }
+    this->has_listing = true;
+}
+
+void store_mirror::apply(const ports::store_item& item)
+{
+    auto& current = this->items[item.key];
+    const bool is_newer =
+        item.revision > current.revision ||
+        (item.revision == current.revision && item.is_removed &&
+         !current.is_removed);
+    if (!is_newer)
+    {
+        return;
+    }
+    current = item;
+    this->history.push_back(item);
+    while (this->history.size() > most_history)
+    {
+        this->history_begins = this->history.front().revision;
+        this->history.pop_front();
+    }
+    this->on_change(item);
+}
+
+ports::store_page store_mirror::listing() const
+{
+    ports::store_page page;
+    for (const auto& [key, item] : this->items)
+    {
+        if (!item.is_removed)
+        {
+            page.items.push_back(item);
+        }
+    }
+    page.revision = this->known;
+    return page;
+}
+
+std::optional<ports::store_page>
+store_mirror::changes_since(std::uint64_t revision) const
+{
+    if (!this->has_listing || revision < this->history_begins)
+    {
+        return std::nullopt;
+    }
+    ports::store_page page;
+    for (const auto& item : this->history)
+    {
+        if (item.revision > revision)
+        {
+            page.items.push_back(item);
+        }
+    }
+    page.revision = std::max(this->known, revision);
+    return page;
+}
+
+} // namespace hawthornrelay::core::relay
