--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -88,7 +88,8 @@
     event_row{log_event::request_answered, "request_answered", log_level::info},
     event_row{log_event::send_failed, "send_failed", log_level::info},
     event_row{log_event::caller_gone, "caller_gone", log_level::info},
-    event_row{log_event::hedge_withheld, "hedge_withheld", log_level::info},
+    event_row{log_event::sent_again, "sent_again", log_level::info},
+    event_row{log_event::send_withheld, "send_withheld", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -84,7 +84,8 @@
     request_answered = 1051,
     send_failed = 1052,
     caller_gone = 1053,
-    hedge_withheld = 1054,
+    sent_again = 1054,
+    send_withheld = 1055,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -112,7 +112,7 @@
 }
 
 std::vector<replica_ptr>
-replica_registry::usable(const std::string& service) const
+replica_registry::usable(const std::string& service, time_point now) const
 {
     std::vector<replica_ptr> result;
     const auto found = this->by_service.find(service);
@@ -123,6 +123,7 @@
     for (const auto& candidate : found->second)
     {
         if (!candidate->record.is_draining &&
+            candidate->displaced_until <= now &&
             !this->out.contains(candidate->record.zone))
         {
             result.push_back(candidate);
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -23,6 +23,9 @@
     replica_health health;
     base::time_point cold_until{};
     bool is_removed = false; ///< its registration is gone
+    /// Until then nothing is sent to it: another replica answers at its
+    /// address.
+    base::time_point displaced_until{};
     /// Recent sends while cold, for the bound on cold replicas.
     std::vector<base::time_point> cold_sends;
 };
@@ -59,7 +62,7 @@
 
     /// @brief Replicas of a service that may get new work.
     [[nodiscard]] std::vector<replica_ptr>
-    usable(const std::string& service) const;
+    usable(const std::string& service, base::time_point now) const;
 
     /// @brief All replicas that are listed.
     [[nodiscard]] const std::map<std::string, replica_ptr>& all() const
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -1,6 +1,7 @@
 #include <core/relay/request_engine.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <core/relay/request_run.hpp>
@@ -43,9 +44,44 @@
 
 request_engine::~request_engine() = default;
 
+void request_engine::route_latency::add(duration sample)
+{
+    this->for_hedges.add(sample);
+    this->for_median.add(sample);
+}
+
+duration request_engine::route_latency::usual(duration fallback) const
+{
+    return this->for_hedges.mean(fallback);
+}
+
 void request_engine::set_configuration(configuration_ptr config)
 {
     this->config = std::move(config);
+    std::set<std::string> names;
+    for (const auto& way : this->config->routes)
+    {
+        names.insert(way.name);
+    }
+    std::erase_if(this->latencies,
+                  [&](const auto& item)
+                  {
+                      return !names.contains(item.first);
+                  });
+    std::erase_if(this->splits,
+                  [&](const auto& item)
+                  {
+                      return !names.contains(item.first);
+                  });
+}
+
+duration request_engine::expected_time(const replica& target,
+                                       duration usual) const
+{
+    const auto now = this->runtime.now();
+    const auto by_speed = duration(static_cast<duration::rep>(
+        target.health.slowness_at(now) * static_cast<double>(usual.count())));
+    return std::max(by_speed, target.health.oldest_wait(now));
 }
 
 void request_engine::set_node_count(unsigned count)
@@ -84,7 +120,7 @@
                                    duration usual)
 {
     const auto now = this->runtime.now();
-    auto candidates = this->registry.usable(service);
+    auto candidates = this->registry.usable(service, now);
     std::erase_if(candidates,
                   [&](const replica_ptr& candidate)
                   {
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -106,10 +106,14 @@
   private:
     friend class request_run;
 
-    /// Latencies of one route's parts.
+    /// Latencies of one route's parts. Each window caches one quantile.
     struct route_latency
     {
-        dispatch::latency_window parts;
+        dispatch::latency_window for_hedges;
+        dispatch::latency_window for_median;
+
+        void add(base::duration sample);
+        [[nodiscard]] base::duration usual(base::duration fallback) const;
     };
 
     /// @brief Chooses a replica.
@@ -119,6 +123,9 @@
     replica_ptr choose(const std::string& service,
                        const std::vector<replica_ptr>& avoid,
                        base::duration usual);
+    /// @brief The time that a replica is expected to take.
+    [[nodiscard]] base::duration expected_time(const replica& target,
+                                               base::duration usual) const;
     bool admit_cold(replica& target, base::time_point now);
     void forget(std::uint64_t request);
 
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -1,6 +1,7 @@
 #include <core/relay/request_run.hpp>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 
@@ -16,6 +17,10 @@
 namespace
 {
 
+/// A part whose expected time at a congested replica is this much over the
+/// time until the cut is not sent if the search can do without it.
+constexpr double hopeless_factor = 1.2;
+
 /// Part latencies above this quantile are hedged.
 constexpr double hedge_quantile = 0.92;
 
@@ -51,6 +56,10 @@
 /// their connections; then they are reset.
 constexpr std::chrono::milliseconds gone_grace{300};
 
+/// A replica whose address another one has taken is not asked in this time.
+/// Its registration is gone long before, unless the store is away.
+constexpr std::chrono::seconds displaced_time{5};
+
 /// Retry-After of refusals: a pause of a replica has ended by then.
 constexpr std::chrono::milliseconds retry_pause{20};
 
@@ -87,17 +96,69 @@
     }
     this->plan_times();
     this->is_dispatching = true;
-    for (std::size_t i = 0; i < this->parts.size(); ++i)
+    this->send_all_parts();
+    this->is_dispatching = false;
+    this->check_progress();
+    this->arm();
+}
+
+void request_run::send_all_parts()
+{
+    std::vector<replica_ptr> targets;
+    for (auto& part : this->parts)
+    {
+        this->engine.extras.on_request(part.service, this->started);
+        targets.push_back(
+            this->engine.choose(part.service, {}, this->hedge_delay()));
+        part.is_failed = true;
+    }
+    for (const auto index : this->worthwhile_parts(targets))
+    {
+        this->parts[index].is_failed = false;
+        this->send(index, targets[index], false);
+    }
+}
+
+std::vector<std::size_t> request_run::worthwhile_parts(
+    const std::vector<replica_ptr>& targets) const
+{
+    const auto& latency = this->engine.latencies[this->way->name];
+    const auto usual = latency.usual(duration(0));
+    const auto in_time = duration(static_cast<duration::rep>(
+        static_cast<double>((this->cut_at - this->started).count()) *
+        hopeless_factor));
+    std::vector<std::size_t> promising;
+    std::vector<std::pair<duration, std::size_t>> hopeless;
+    for (std::size_t i = 0; i < targets.size(); ++i)
+    {
+        if (targets[i] == nullptr)
+        {
+            continue;
+        }
+        const auto expected = this->engine.expected_time(*targets[i], usual);
+        const bool is_hopeless =
+            this->way->is_search() && expected > in_time &&
+            targets[i]->health.is_congested(this->started);
+        if (!is_hopeless)
+        {
+            promising.push_back(i);
+        }
+        else
+        {
+            hopeless.emplace_back(expected, i);
+        }
+    }
+    // Shards that are too slow are left to those searches that need them, so
+    // that their queues do not make them slower still.
+    std::sort(hopeless.begin(), hopeless.end());
+    for (const auto& [expected, index] : hopeless)
     {
-        this->engine.extras.on_request(this->parts[i].service, this->started);
-        if (!this->send_first(i))
+        if (promising.size() < this->way->min_shards())
         {
-            this->parts[i].is_failed = true;
+            promising.push_back(index);
         }
     }
-    this->is_dispatching = false;
-    this->check_progress();
-    this->arm();
+    return promising;
 }
 
 bool request_run::select_route()
@@ -157,19 +218,12 @@
             duration(this->way->latency_objective).count()) *
         latest_hedge_share));
     const auto seen =
-        this->engine.latencies[this->way->name].parts.quantile(hedge_quantile,
-                                                               latest);
+        this->engine.latencies[this->way->name].for_hedges.quantile(
+            hedge_quantile, latest);
     return std::max(std::min(seen, latest),
                     std::min(duration(least_hedge_delay), latest));
 }
 
-bool request_run::send_first(std::size_t index)
-{
-    const auto target = this->engine.choose(
-        this->parts[index].service, {}, this->hedge_delay());
-    return target != nullptr && this->send(index, target, false);
-}
-
 double request_run::extra_part(reason why) const
 {
     return why == reason::hedge ? hedge_part : 1.0;
@@ -219,13 +273,35 @@
                         part.service, now, this->extra_part(why)))
     {
         this->engine.counters.add(relay_counter::extras_withheld);
+        this->log_again(base::log_event::send_withheld, part, *target, why);
         return false;
     }
     this->engine.counters.add(why == reason::hedge ? relay_counter::hedges
                                                    : relay_counter::resends);
+    this->log_again(base::log_event::sent_again, part, *target, why);
     return this->send(index, target, is_extra);
 }
 
+void request_run::log_again(base::log_event event,
+                            const part_state& part,
+                            const replica& target,
+                            reason why) const
+{
+    static constexpr std::array<const char*, 4> reasons{
+        "hedge", "shed", "failed", "not_sent"};
+    const auto now = this->engine.runtime.now();
+    this->engine.log.write(
+        event,
+        {{"request", this->request.message->id},
+         {"service", part.service},
+         {"replica", target.record.id},
+         {"reason", reasons.at(static_cast<std::size_t>(why))},
+         {"after_ms", ms_text(now - this->started)},
+         {"extras_left",
+          std::to_string(
+              static_cast<int>(this->engine.extras.left(part.service, now)))}});
+}
+
 bool request_run::send(std::size_t index,
                        const replica_ptr& target,
                        bool is_extra)
@@ -324,8 +400,8 @@
     auto& part = this->parts[index];
     auto& entry = part.tries[attempt];
     const auto taken = now - entry.sent_at;
-    auto& latency = this->engine.latencies[this->way->name].parts;
-    const auto usual = latency.mean(taken);
+    auto& latency = this->engine.latencies[this->way->name];
+    const auto usual = latency.usual(taken);
     const double slowness = static_cast<double>(taken.count()) /
                             std::max(1.0, static_cast<double>(usual.count()));
     this->settle(entry, outcome.result, slowness);
@@ -333,6 +409,11 @@
     {
         entry.target->health.on_load(*outcome.busy_share, now);
     }
+    if (outcome.result == send_result::other_here)
+    {
+        // What is sent there counts as work of the replica that answers.
+        entry.target->displaced_until = now + displaced_time;
+    }
     if (outcome.cold_for)
     {
         entry.target->cold_until = now + *outcome.cold_for;
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -65,8 +65,14 @@
     bool select_route();
     void plan_times();
     [[nodiscard]] base::duration hedge_delay() const;
-    bool send_first(std::size_t index);
+    void send_all_parts();
+    [[nodiscard]] std::vector<std::size_t>
+    worthwhile_parts(const std::vector<replica_ptr>& targets) const;
     bool send_again(std::size_t index, reason why);
+    void log_again(base::log_event event,
+                   const part_state& part,
+                   const replica& target,
+                   reason why) const;
     bool send(std::size_t index, const replica_ptr& target, bool is_extra);
     void on_outcome(std::size_t index,
                     std::size_t attempt,
