Do not skip congested shards; test the relay's decisions

A replica's own 408, 421, 429 and 503 without the mark that it has not run are not passed on, for callers take them as a promise.

--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -103,11 +103,6 @@
     return std::max(0.1, this->slowness.at(now)) + waiting + failures;
 }
 
-bool replica_health::is_congested(time_point now) const
-{
-    return now - this->busy_at < load_validity && this->busy_share > 1.0;
-}
-
 duration replica_health::oldest_wait(time_point now) const
 {
     duration oldest{0};
--- a/src/core/relay/replica_health.hpp
+++ b/src/core/relay/replica_health.hpp
@@ -80,15 +80,6 @@
     /// @brief The age of the oldest send without an outcome, zero if none.
     [[nodiscard]] base::duration oldest_wait(base::time_point now) const;
 
-    /// @brief Tells whether requests wait at the replica, by its own report.
-    [[nodiscard]] bool is_congested(base::time_point now) const;
-
-    /// @brief The recent time of requests over the usual one.
-    [[nodiscard]] double slowness_at(base::time_point now) const
-    {
-        return this->slowness.at(now);
-    }
-
   private:
     std::map<std::uint64_t, base::time_point> in_flight;
     decaying_mean slowness{1.0};
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -44,17 +44,6 @@
 
 request_engine::~request_engine() = default;
 
-void request_engine::route_latency::add(duration sample)
-{
-    this->for_hedges.add(sample);
-    this->for_median.add(sample);
-}
-
-duration request_engine::route_latency::usual(duration fallback) const
-{
-    return this->for_hedges.mean(fallback);
-}
-
 void request_engine::set_configuration(configuration_ptr config)
 {
     this->config = std::move(config);
@@ -75,15 +64,6 @@
                   });
 }
 
-duration request_engine::expected_time(const replica& target,
-                                       duration usual) const
-{
-    const auto now = this->runtime.now();
-    const auto by_speed = duration(static_cast<duration::rep>(
-        target.health.slowness_at(now) * static_cast<double>(usual.count())));
-    return std::max(by_speed, target.health.oldest_wait(now));
-}
-
 void request_engine::set_node_count(unsigned count)
 {
     this->node_count = std::max(1U, count);
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -106,16 +106,6 @@
   private:
     friend class request_run;
 
-    /// Latencies of one route's parts. Each window caches one quantile.
-    struct route_latency
-    {
-        dispatch::latency_window for_hedges;
-        dispatch::latency_window for_median;
-
-        void add(base::duration sample);
-        [[nodiscard]] base::duration usual(base::duration fallback) const;
-    };
-
     /// @brief Chooses a replica.
     /// @param service the service
     /// @param avoid replicas that were tried
@@ -123,9 +113,6 @@
     replica_ptr choose(const std::string& service,
                        const std::vector<replica_ptr>& avoid,
                        base::duration usual);
-    /// @brief The time that a replica is expected to take.
-    [[nodiscard]] base::duration expected_time(const replica& target,
-                                               base::duration usual) const;
     bool admit_cold(replica& target, base::time_point now);
     void forget(std::uint64_t request);
 
@@ -136,7 +123,8 @@
     configuration_ptr config;
     extra_budget extras;
     unsigned node_count = 1;
-    std::map<std::string, route_latency> latencies;
+    /// Of the parts of each route's requests.
+    std::map<std::string, dispatch::latency_window> latencies;
     std::map<std::string, weighted_choice> splits;
     std::map<std::uint64_t, std::shared_ptr<class request_run>> runs;
     std::uint64_t next_run = 1;
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -17,10 +17,6 @@
 namespace
 {
 
-/// A part whose expected time at a congested replica is this much over the
-/// time until the cut is not sent if the search can do without it.
-constexpr double hopeless_factor = 1.2;
-
 /// Part latencies above this quantile are hedged.
 constexpr double hedge_quantile = 0.92;
 
@@ -63,6 +59,16 @@
 /// Retry-After of refusals: a pause of a replica has ended by then.
 constexpr std::chrono::milliseconds retry_pause{20};
 
+/// A replica's own failure may reach the caller, but for statuses that would
+/// promise that the request has not run.
+bool may_pass_on(const ports::replica_answer& answer)
+{
+    static constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
+    return answer.status >= 300 && !answer.signature.empty() &&
+           std::find(promises.begin(), promises.end(), answer.status) ==
+               promises.end();
+}
+
 std::string ms_text(duration value)
 {
     return std::to_string(
@@ -112,116 +118,14 @@
             this->engine.choose(part.service, {}, this->hedge_delay()));
         part.is_failed = true;
     }
-    for (const auto index : this->worthwhile_parts(targets))
-    {
-        this->parts[index].is_failed = false;
-        this->send(index, targets[index], false);
-    }
-}
-
-std::vector<std::size_t> request_run::worthwhile_parts(
-    const std::vector<replica_ptr>& targets) const
-{
-    const auto& latency = this->engine.latencies[this->way->name];
-    const auto usual = latency.usual(duration(0));
-    const auto in_time = duration(static_cast<duration::rep>(
-        static_cast<double>((this->cut_at - this->started).count()) *
-        hopeless_factor));
-    std::vector<std::size_t> promising;
-    std::vector<std::pair<duration, std::size_t>> hopeless;
     for (std::size_t i = 0; i < targets.size(); ++i)
     {
-        if (targets[i] == nullptr)
-        {
-            continue;
-        }
-        const auto expected = this->engine.expected_time(*targets[i], usual);
-        const bool is_hopeless =
-            this->way->is_search() && expected > in_time &&
-            targets[i]->health.is_congested(this->started);
-        if (!is_hopeless)
-        {
-            promising.push_back(i);
-        }
-        else
-        {
-            hopeless.emplace_back(expected, i);
-        }
-    }
-    // Shards that are too slow are left to those searches that need them, so
-    // that their queues do not make them slower still.
-    std::sort(hopeless.begin(), hopeless.end());
-    for (const auto& [expected, index] : hopeless)
-    {
-        if (promising.size() < this->way->min_shards())
-        {
-            promising.push_back(index);
-        }
-    }
-    return promising;
-}
-
-bool request_run::select_route()
-{
-    if (this->config == nullptr)
-    {
-        this->fail(result_code::node_not_ready, "no configuration yet");
-        return false;
-    }
-    const auto& message = *this->request.message;
-    this->way = find_route(*this->config, message.host, message.target);
-    if (this->way == nullptr)
-    {
-        this->fail(result_code::no_such_path, "no route for this path");
-        return false;
-    }
-    if (this->way->is_search())
-    {
-        for (const auto& shard : this->way->shards)
+        if (targets[i] != nullptr)
         {
-            this->parts.push_back({.service = shard});
+            this->parts[i].is_failed = false;
+            this->send(i, targets[i], false);
         }
-        return true;
     }
-    const auto& to = this->way->destinations;
-    const auto chosen =
-        to.size() == 1 ? 0 : this->engine.splits[this->way->name].next(to);
-    this->parts.push_back({.service = to[chosen].service});
-    return true;
-}
-
-void request_run::plan_times()
-{
-    const duration timeout = this->way->timeout;
-    const duration caller =
-        this->request.time_left > duration(deadline_reserve) * 2
-            ? this->request.time_left - deadline_reserve
-            : this->request.time_left / 2;
-    this->deadline = this->started + std::min(timeout, caller);
-    const duration round_trip = this->request.round_trip.count() > 0
-                                    ? this->request.round_trip
-                                    : duration(default_round_trip);
-    // A new connection has cost the caller one more round trip.
-    const duration on_the_way =
-        this->request.is_new_connection ? round_trip * 2 : round_trip;
-    // A repeated attempt has less time than the route allows.
-    const duration used =
-        std::max(duration(0), timeout - this->request.time_left);
-    this->cut_at = this->started + this->way->latency_objective - on_the_way -
-                   cut_reserve - used;
-}
-
-duration request_run::hedge_delay() const
-{
-    const duration latest(static_cast<duration::rep>(
-        static_cast<double>(
-            duration(this->way->latency_objective).count()) *
-        latest_hedge_share));
-    const auto seen =
-        this->engine.latencies[this->way->name].for_hedges.quantile(
-            hedge_quantile, latest);
-    return std::max(std::min(seen, latest),
-                    std::min(duration(least_hedge_delay), latest));
 }
 
 double request_run::extra_part(reason why) const
@@ -401,7 +305,7 @@
     auto& entry = part.tries[attempt];
     const auto taken = now - entry.sent_at;
     auto& latency = this->engine.latencies[this->way->name];
-    const auto usual = latency.usual(taken);
+    const auto usual = latency.mean(taken);
     const double slowness = static_cast<double>(taken.count()) /
                             std::max(1.0, static_cast<double>(usual.count()));
     this->settle(entry, outcome.result, slowness);
@@ -466,20 +370,33 @@
                               const ports::send_outcome& outcome)
 {
     auto& part = this->parts[index];
-    if (this->is_usable(outcome.answer) ||
-        (!this->way->is_search() && !this->way->is_idempotent))
+    const auto& answer = outcome.answer;
+    if (this->is_usable(answer) || this->is_final_failure(answer))
     {
-        part.answer = outcome.answer;
+        part.answer = answer;
         part.answered_at = this->engine.runtime.now();
         return;
     }
-    part.failure = outcome.answer;
     attempt.target->health.on_result(
         0, send_result::broken, 1.0, this->engine.runtime.now());
-    if (!this->send_again(index, reason::failed) && !this->is_pending(part))
+    if (may_pass_on(answer))
     {
-        this->parts[index].is_failed = true;
+        part.failure = answer;
     }
+    const bool is_sent_again = this->way->is_idempotent &&
+                               this->send_again(index, reason::failed);
+    if (!is_sent_again && !this->is_pending(part))
+    {
+        part.is_failed = true;
+    }
+}
+
+bool request_run::is_final_failure(const ports::replica_answer& answer) const
+{
+    // Another replica would judge the request in the same way.
+    const bool is_callers_fault = answer.status >= 400 && answer.status < 500;
+    return !this->way->is_search() && may_pass_on(answer) &&
+           (is_callers_fault || !this->way->is_idempotent);
 }
 
 void request_run::check_progress()
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -66,8 +66,6 @@
     void plan_times();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_all_parts();
-    [[nodiscard]] std::vector<std::size_t>
-    worthwhile_parts(const std::vector<replica_ptr>& targets) const;
     bool send_again(std::size_t index, reason why);
     void log_again(base::log_event event,
                    const part_state& part,
@@ -82,6 +80,8 @@
                      const ports::send_outcome& outcome);
     void settle(try_state& attempt, send_result result, double slowness);
     [[nodiscard]] bool is_usable(const ports::replica_answer& answer) const;
+    [[nodiscard]] bool
+    is_final_failure(const ports::replica_answer& answer) const;
     [[nodiscard]] bool is_pending(const part_state& part) const;
     [[nodiscard]] bool has_run_anywhere() const;
     [[nodiscard]] double extra_part(reason why) const;
--- /dev/null
+++ b/tests/support/relay_world.hpp
@@ -0,0 +1,256 @@
+/// @file
+/// @brief Replicas of a relay on a paused clock, and builders of its inputs.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <core/relay/request_engine.hpp>
+#include <ports/event_log.hpp>
+#include <ports/replica_transport.hpp>
+#include <support/event_loop.hpp>
+
+namespace hawthornrelay::tests::support
+{
+
+namespace relay = core::relay;
+using relay::send_result;
+
+/// @brief Keeps the lines that were written.
+class kept_log final : public ports::event_log
+{
+  public:
+    bool wants(core::base::log_event /*event*/) override
+    {
+        return true;
+    }
+
+    void write(core::base::log_event event,
+               std::initializer_list<ports::log_field> fields) override
+    {
+        std::string line(core::base::name_of(event));
+        for (const auto& field : fields)
+        {
+            line += " " + std::string(field.name) + "=" + field.value;
+        }
+        this->lines.push_back(std::move(line));
+    }
+
+    std::vector<std::string> lines;
+};
+
+/// @brief How a replica treats one request.
+struct treatment
+{
+    send_result result = send_result::answered;
+    core::base::duration after = std::chrono::milliseconds(5);
+    unsigned status = 200;
+};
+
+/// @brief Replicas that treat each request as a script says.
+class scripted_replicas final : public ports::replica_transport
+{
+  public:
+    using script = std::function<treatment(const relay::replica& replica,
+                                           const std::string& request)>;
+
+    scripted_replicas(event_loop& loop, script script)
+        : behaviour(std::move(script)), loop(loop)
+    {
+    }
+
+    std::uint64_t
+    send(const relay::replica_ptr& to,
+         std::shared_ptr<const ports::forwarded_request> request,
+         core::base::duration time_left,
+         handler done) override
+    {
+        const auto number = ++this->last;
+        const auto how = this->behaviour(*to, request->id);
+        this->arrivals.push_back(
+            {this->loop.now(), to->record.service, to->record.id, request->id});
+        this->longest_time_left = std::max(this->longest_time_left, time_left);
+        this->pending[number] = std::move(done);
+        const auto id = to->record.id;
+        this->loop.after(how.after,
+                         [this, number, how, id, request]
+                         {
+                             this->finish(number, how, id, request->id);
+                         });
+        return number;
+    }
+
+    void cancel(std::uint64_t send) override
+    {
+        this->cancelled += this->pending.erase(send);
+    }
+
+    struct arrival
+    {
+        time_point at;
+        std::string service;
+        std::string replica;
+        std::string request;
+    };
+
+    /// Arrivals of a request at a service, or at all.
+    [[nodiscard]] std::size_t count(const std::string& request,
+                                    const std::string& service = {}) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->arrivals.begin(),
+            this->arrivals.end(),
+            [&](const arrival& item)
+            {
+                return item.request == request &&
+                       (service.empty() || item.service == service);
+            }));
+    }
+
+    script behaviour;
+    std::vector<arrival> arrivals;
+    std::size_t cancelled = 0;
+    core::base::duration longest_time_left{};
+
+  private:
+    void finish(std::uint64_t number,
+                const treatment& how,
+                const std::string& replica,
+                const std::string& request)
+    {
+        const auto found = this->pending.find(number);
+        if (found == this->pending.end())
+        {
+            return;
+        }
+        const auto done = std::move(found->second);
+        this->pending.erase(found);
+        ports::send_outcome outcome;
+        outcome.result = how.result;
+        outcome.detail = "scripted";
+        outcome.answer.status = how.status;
+        outcome.answer.signature = replica + "." + request;
+        outcome.answer.body = std::string(16, 'r');
+        done(outcome);
+    }
+
+    event_loop& loop;
+    std::uint64_t last = 0;
+    std::map<std::uint64_t, handler> pending;
+};
+
+/// @brief One relay engine among several that share its bounds.
+struct relay_world
+{
+    explicit relay_world(scripted_replicas::script script,
+                         std::size_t shards = 20,
+                         double slack = 56)
+        : runtime(loop), replicas(loop, std::move(script)),
+          engine(settings(slack), runtime, replicas, log)
+    {
+        auto made = std::make_shared<relay::configuration>();
+        made->version = 1;
+        relay::route search;
+        search.name = "search";
+        search.host = "h.example";
+        search.prefix = "/s/";
+        search.is_idempotent = true;
+        search.timeout = std::chrono::milliseconds(400);
+        search.latency_objective = std::chrono::milliseconds(80);
+        search.max_replicas_per_attempt = 2;
+        search.result_limit = 20;
+        search.min_shard_ratio = 0.89;
+        for (std::size_t i = 0; i < shards; ++i)
+        {
+            const auto name = "shard" + std::to_string(i);
+            search.shards.push_back(name);
+            made->services[name] = {.name = name};
+            this->add_replica(name, name + "-a", "here");
+            this->add_replica(name, name + "-b", "there");
+        }
+        relay::route single;
+        single.name = "single";
+        single.host = "h.example";
+        single.prefix = "/b/";
+        single.timeout = std::chrono::milliseconds(1500);
+        single.latency_objective = std::chrono::milliseconds(250);
+        single.max_replicas_per_attempt = 2;
+        single.destinations = {{"book", 1.0}};
+        made->services["book"] = {.name = "book"};
+        this->add_replica("book", "book-a", "here");
+        this->add_replica("book", "book-b", "there");
+        auto lookup = single;
+        lookup.name = "lookup";
+        lookup.prefix = "/l/";
+        lookup.is_idempotent = true;
+        made->routes = {search, single, lookup};
+        this->config = made;
+        this->engine.set_configuration(made);
+    }
+
+    static relay::engine_settings settings(double slack)
+    {
+        relay::engine_settings result;
+        result.zone = "here";
+        result.extras.slack = slack;
+        result.knows_extra_history = true;
+        return result;
+    }
+
+    void add_replica(const std::string& service,
+                     const std::string& id,
+                     const std::string& zone)
+    {
+        relay::replica_record record;
+        record.id = id;
+        record.service = service;
+        record.address = "10.0.0.1:80";
+        record.zone = zone;
+        record.slots = 2;
+        record.started_at = 1;
+        this->engine.registry.put(record, this->loop.now());
+    }
+
+    /// Starts a request; its answer is kept under its id.
+    std::uint64_t
+    start(const std::string& id,
+          const std::string& target,
+          std::chrono::milliseconds time_left = std::chrono::milliseconds(400))
+    {
+        auto message = std::make_shared<ports::forwarded_request>();
+        message->id = id;
+        message->method = "GET";
+        message->target = target;
+        message->host = "h.example";
+        relay::caller_request request;
+        request.message = message;
+        request.time_left = time_left;
+        request.round_trip = std::chrono::milliseconds(2);
+        const auto begun = this->loop.now();
+        return this->engine.start(
+            std::move(request),
+            [this, id, begun](relay::caller_answer answer)
+            {
+                ++this->answer_count[id];
+                this->answers[id] = std::move(answer);
+                this->taken[id] = this->loop.now() - begun;
+            });
+    }
+
+    event_loop loop;
+    process_runtime runtime;
+    kept_log log;
+    scripted_replicas replicas;
+    relay::request_engine engine;
+    relay::configuration_ptr config;
+    std::map<std::string, relay::caller_answer> answers;
+    std::map<std::string, std::size_t> answer_count;
+    std::map<std::string, core::base::duration> taken;
+};
+
+} // namespace hawthornrelay::tests::support
