--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -128,6 +128,69 @@
     }
 }
 
+bool request_run::select_route()
+{
+    if (this->config == nullptr)
+    {
+        this->fail(result_code::node_not_ready, "no configuration yet");
+        return false;
+    }
+    const auto& message = *this->request.message;
+    this->way = find_route(*this->config, message.host, message.target);
+    if (this->way == nullptr)
+    {
+        this->fail(result_code::no_such_path, "no route for this path");
+        return false;
+    }
+    if (this->way->is_search())
+    {
+        for (const auto& shard : this->way->shards)
+        {
+            this->parts.push_back({.service = shard});
+        }
+        return true;
+    }
+    const auto& to = this->way->destinations;
+    const auto chosen =
+        to.size() == 1 ? 0 : this->engine.splits[this->way->name].next(to);
+    this->parts.push_back({.service = to[chosen].service});
+    return true;
+}
+
+void request_run::plan_times()
+{
+    const duration timeout = this->way->timeout;
+    const duration caller =
+        this->request.time_left > duration(deadline_reserve) * 2
+            ? this->request.time_left - deadline_reserve
+            : this->request.time_left / 2;
+    this->deadline = this->started + std::min(timeout, caller);
+    const duration round_trip = this->request.round_trip.count() > 0
+                                    ? this->request.round_trip
+                                    : duration(default_round_trip);
+    // A new connection has cost the caller one more round trip.
+    const duration on_the_way =
+        this->request.is_new_connection ? round_trip * 2 : round_trip;
+    // A repeated attempt has less time than the route allows.
+    const duration used =
+        std::max(duration(0), timeout - this->request.time_left);
+    this->cut_at = this->started + this->way->latency_objective - on_the_way -
+                   cut_reserve - used;
+}
+
+duration request_run::hedge_delay() const
+{
+    const duration latest(static_cast<duration::rep>(
+        static_cast<double>(
+            duration(this->way->latency_objective).count()) *
+        latest_hedge_share));
+    const auto seen =
+        this->engine.latencies[this->way->name].quantile(hedge_quantile,
+                                                         latest);
+    return std::max(std::min(seen, latest),
+                    std::min(duration(least_hedge_delay), latest));
+}
+
 double request_run::extra_part(reason why) const
 {
     return why == reason::hedge ? hedge_part : 1.0;
