--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -47,7 +47,7 @@
 constexpr std::size_t read_ahead_bytes = 64U << 10U;
 
 /// Size of one read.
-constexpr std::size_t read_bytes = 16U << 10U;
+constexpr std::size_t read_bytes = 4U << 10U;
 
 /// Pause after a failed accept, when descriptors run out.
 constexpr std::chrono::milliseconds accept_pause{50};
@@ -385,14 +385,13 @@
         this->is_continued = true;
         static constexpr std::string_view text =
             "HTTP/1.1 100 Continue\r\n\r\n";
-        boost::asio::async_write(
-            this->socket,
-            boost::asio::buffer(text),
-            [self = this->shared_from_this()](const beast::error_code&,
-                                              std::size_t)
-            {
-                // A failure shows at the next read.
-            });
+        boost::asio::async_write(this->socket,
+                                 boost::asio::buffer(text),
+                                 [self = this->shared_from_this()](
+                                     const beast::error_code&, std::size_t)
+                                 {
+                                     // A failure shows at the next read.
+                                 });
     }
 
     void handle()
@@ -559,13 +558,12 @@
 
 std::size_t beast_server::busy() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->sessions.begin(),
-                      this->sessions.end(),
-                      [](const session* item)
-                      {
-                          return item->is_busy();
-                      }));
+    return static_cast<std::size_t>(std::count_if(this->sessions.begin(),
+                                                  this->sessions.end(),
+                                                  [](const session* item)
+                                                  {
+                                                      return item->is_busy();
+                                                  }));
 }
 
 void beast_server::close_idle()
--- a/src/adapters/log/stdout_sink.cpp
+++ b/src/adapters/log/stdout_sink.cpp
@@ -45,10 +45,10 @@
     while (!this->lines.empty() && is_writable())
     {
         const auto& first = this->lines.front();
-        const auto size = std::min(first.size() - this->written_of_first,
-                                   safe_write_bytes);
-        const auto written = ::write(
-            STDOUT_FILENO, first.data() + this->written_of_first, size);
+        const auto size =
+            std::min(first.size() - this->written_of_first, safe_write_bytes);
+        const auto written =
+            ::write(STDOUT_FILENO, first.data() + this->written_of_first, size);
         if (written <= 0)
         {
             return;
--- a/src/adapters/relay/beacon.cpp
+++ b/src/adapters/relay/beacon.cpp
@@ -26,8 +26,8 @@
 
 std::uint32_t store_age_ms(const core::relay::node_record& record)
 {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        record.store_age);
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(record.store_age);
     return static_cast<std::uint32_t>(
         std::clamp<std::chrono::milliseconds::rep>(
             age.count(), 0, std::numeric_limits<std::int32_t>::max()));
--- a/src/adapters/relay/peer_feed.cpp
+++ b/src/adapters/relay/peer_feed.cpp
@@ -49,8 +49,8 @@
                                                  item.is_removed,
                                                  item.may_have_lapsed));
     }
-    builder.Finish(schemas::CreateStorePageDirect(
-        builder, &items, page.revision));
+    builder.Finish(
+        schemas::CreateStorePageDirect(builder, &items, page.revision));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -348,22 +348,22 @@
         .and_then(
             [&]
             {
-                return this->open(this->settings.readiness,
-                                  std::move(for_readiness))
+                return this
+                    ->open(this->settings.readiness, std::move(for_readiness))
                     .map(keep(this->readiness));
             })
         .and_then(
             [&]
             {
-                return this->open(this->settings.directory,
-                                  std::move(for_directory))
+                return this
+                    ->open(this->settings.directory, std::move(for_directory))
                     .map(keep(this->directory));
             })
         .and_then(
             [&]
             {
-                return this->open(this->settings.callers,
-                                  std::move(for_callers))
+                return this
+                    ->open(this->settings.callers, std::move(for_callers))
                     .map(keep(this->callers));
             });
 }
@@ -382,11 +382,11 @@
 
 void node::on_source_reach(bool is_reachable, const std::string& reason)
 {
-    this->log.write(is_reachable ? log_event::source_regained
-                                 : log_event::source_lost,
-                    {{"source", this->followed.empty() ? "store" : this->followed},
-                     {"revision", std::to_string(this->mirror.revision())},
-                     {"reason", reason}});
+    this->log.write(
+        is_reachable ? log_event::source_regained : log_event::source_lost,
+        {{"source", this->followed.empty() ? "store" : this->followed},
+         {"revision", std::to_string(this->mirror.revision())},
+         {"reason", reason}});
 }
 
 void node::on_item(const ports::store_item& item)
@@ -398,10 +398,9 @@
     else if (const auto zone = after_prefix(item.key, names::zone_out_prefix))
     {
         this->engine.registry.set_zone_out(*zone, !item.is_removed);
-        this->log.write(item.is_removed ? log_event::zone_back
-                                        : log_event::zone_out,
-                        {{"zone", *zone},
-                         {"revision", std::to_string(item.revision)}});
+        this->log.write(
+            item.is_removed ? log_event::zone_back : log_event::zone_out,
+            {{"zone", *zone}, {"revision", std::to_string(item.revision)}});
     }
     else if (const auto id = after_prefix(item.key, names::replica_prefix))
     {
@@ -444,8 +443,8 @@
     {
         return;
     }
-    const auto config = std::make_shared<const core::relay::configuration>(
-        std::move(*decoded));
+    const auto config =
+        std::make_shared<const core::relay::configuration>(std::move(*decoded));
     this->engine.set_configuration(config);
     http::server_limits limits;
     limits.body_bytes = config->limits.body_bytes;
@@ -468,10 +467,10 @@
     {
         if (this->engine.registry.remove(id, item.may_have_lapsed, now))
         {
-            this->log.write(item.may_have_lapsed ? log_event::replica_lapsing
-                                            : log_event::replica_removed,
-                            {{"replica", id},
-                             {"revision", std::to_string(item.revision)}});
+            this->log.write(
+                item.may_have_lapsed ? log_event::replica_lapsing
+                                     : log_event::replica_removed,
+                {{"replica", id}, {"revision", std::to_string(item.revision)}});
         }
         return;
     }
@@ -551,9 +550,9 @@
 void node::choose_source()
 {
     const auto heard = this->nodes.heard(this->runtime.now());
-    const bool may_read = this->lease.is_reachable() &&
-                          (this->follower.is_reachable() ||
-                           !this->followed.empty());
+    const bool may_read =
+        this->lease.is_reachable() &&
+        (this->follower.is_reachable() || !this->followed.empty());
     const auto chosen = core::relay::choose_source(
         this->nodes.self(), may_read, heard, this->followed);
     const auto name = chosen.value_or("");
@@ -652,9 +651,9 @@
         }
         if (this->suspects.insert(id).second)
         {
-            this->log.write(log_event::replica_suspect,
-                            {{"replica", id},
-                             {"service", target->record.service}});
+            this->log.write(
+                log_event::replica_suspect,
+                {{"replica", id}, {"service", target->record.service}});
         }
         this->pool.probe(target,
                          [this, target](bool is_healthy)
--- a/src/adapters/relay/replica_link.cpp
+++ b/src/adapters/relay/replica_link.cpp
@@ -24,7 +24,7 @@
 constexpr std::chrono::milliseconds connect_timeout{250};
 
 /// Size of one read.
-constexpr std::size_t read_bytes = 8U << 10U;
+constexpr std::size_t read_bytes = 2U << 10U;
 
 /// Largest answer of a replica.
 constexpr std::uint64_t answer_bytes = 64U << 20U;
@@ -129,19 +129,20 @@
         *this->current->request, this->current->expected_replica, left);
     this->is_writing = true;
     this->is_sent = true;
-    bhttp::async_write(
-        this->socket,
-        this->outgoing,
-        [self = this->shared_from_this()](
-            const boost::system::error_code& error, std::size_t)
-        {
-            self->is_writing = false;
-            if (error && self->phase == state::busy)
-            {
-                // An answer that was sent before the reset may still be here.
-                self->fail(send_result::broken, "write: " + error.message());
-            }
-        });
+    bhttp::async_write(this->socket,
+                       this->outgoing,
+                       [self = this->shared_from_this()](
+                           const boost::system::error_code& error, std::size_t)
+                       {
+                           self->is_writing = false;
+                           if (error && self->phase == state::busy)
+                           {
+                               // An answer that was sent before the reset may
+                               // still be here.
+                               self->fail(send_result::broken,
+                                          "write: " + error.message());
+                           }
+                       });
 }
 
 void replica_link::begin_message()
@@ -252,8 +253,7 @@
     }
     this->keep_alive = this->keep_alive && message.keep_alive();
     this->keep_for = keep_alive_time(message[bhttp::field::keep_alive]);
-    auto outcome =
-        platform::read_replica_answer(std::move(message));
+    auto outcome = platform::read_replica_answer(std::move(message));
     // More bytes than one answer, or a request that is still being written,
     // would confuse the next exchange.
     const bool is_clean = this->buffer.size() == 0 && !this->is_writing;
@@ -276,11 +276,11 @@
     this->is_sent = false;
     if (this->keep_for.count() > 0)
     {
-        this->timer.expires_after(std::max(
-            this->keep_for - keep_alive_margin, keep_alive_margin / 2));
+        this->timer.expires_after(std::max(this->keep_for - keep_alive_margin,
+                                           keep_alive_margin / 2));
         this->timer.async_wait(
-            [weak = this->weak_from_this()](
-                const boost::system::error_code& error)
+            [weak =
+                 this->weak_from_this()](const boost::system::error_code& error)
             {
                 const auto self = weak.lock();
                 if (!error && self && self->phase == state::idle &&
--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -130,12 +130,11 @@
     // Handlers run after this function has returned, whatever the outcome.
     const auto refuse = [&](std::string reason)
     {
-        boost::asio::post(
-            this->io,
-            [done = std::move(done), reason = std::move(reason)]
-            {
-                done(not_sent(reason));
-            });
+        boost::asio::post(this->io,
+                          [done = std::move(done), reason = std::move(reason)]
+                          {
+                              done(not_sent(reason));
+                          });
         return number;
     };
     if (time_left < least_time_left)
--- a/src/core/relay/configuration.cpp
+++ b/src/core/relay/configuration.cpp
@@ -29,9 +29,9 @@
 
 std::size_t route::min_shards() const
 {
-    const auto wanted = std::ceil(
-        this->min_shard_ratio * static_cast<double>(this->shards.size()) -
-        rounding_slack);
+    const auto wanted = std::ceil(this->min_shard_ratio *
+                                      static_cast<double>(this->shards.size()) -
+                                  rounding_slack);
     return std::max<std::size_t>(
         1, wanted > 0 ? static_cast<std::size_t>(wanted) : 0);
 }
@@ -47,8 +47,8 @@
     {
         const bool is_longer =
             best == nullptr || candidate.prefix.size() > best->prefix.size();
-        if (is_longer && path.substr(0, candidate.prefix.size()) ==
-                             candidate.prefix &&
+        if (is_longer &&
+            path.substr(0, candidate.prefix.size()) == candidate.prefix &&
             equals_ignoring_case(candidate.host, host))
         {
             best = &candidate;
--- a/src/core/relay/configuration.hpp
+++ b/src/core/relay/configuration.hpp
@@ -33,9 +33,9 @@
     unsigned priority = 0; ///< 0 is the most urgent
     unsigned max_replicas_per_attempt = 1;
     std::vector<weighted_service> destinations; ///< empty for a search
-    std::vector<std::string> shards; ///< services that a search asks
-    std::size_t result_limit = 0;    ///< records in a search's answer
-    double min_shard_ratio = 1;      ///< least share of shards in an answer
+    std::vector<std::string> shards;            ///< services that a search asks
+    std::size_t result_limit = 0; ///< records in a search's answer
+    double min_shard_ratio = 1;   ///< least share of shards in an answer
 
     /// @brief Tells whether requests are answered from all of `shards`.
     [[nodiscard]] bool is_search() const
--- a/src/core/relay/extra_budget.hpp
+++ b/src/core/relay/extra_budget.hpp
@@ -15,8 +15,8 @@
 /// @brief The bound over all nodes, and how much of it this node may use.
 struct extra_budget_settings
 {
-    double ratio = 0.2;  ///< extra sends for each request; site setting
-    double slack = 0;    ///< extra sends besides, over all nodes; site setting
+    double ratio = 0.2; ///< extra sends for each request; site setting
+    double slack = 0;   ///< extra sends besides, over all nodes; site setting
     base::duration window = std::chrono::seconds(10); ///< site setting
     /// Part of the bound left unused, since a send arrives after its decision
     /// and a window may begin anywhere between the two.
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -115,8 +115,8 @@
         {
             continue;
         }
-        const bool is_starting =
-            item.is_listed && !item.was_heard && now - item.listed_at < first_word;
+        const bool is_starting = item.is_listed && !item.was_heard &&
+                                 now - item.listed_at < first_word;
         const bool may_serve =
             this->is_heard(item, now) ? item.record.is_ready : is_starting;
         if (may_serve)
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -21,8 +21,8 @@
     std::string callers; ///< `ip:port` for callers
     std::string peers;   ///< `ip:port` for other nodes, over UDP and TCP
     bool is_stopping = false;
-    bool is_ready = false;    ///< it has a configuration
-    bool reads_store = false; ///< it follows the store itself
+    bool is_ready = false;      ///< it has a configuration
+    bool reads_store = false;   ///< it follows the store itself
     base::duration store_age{}; ///< since it knew the store's state
 };
 
--- a/src/core/relay/node_lease.cpp
+++ b/src/core/relay/node_lease.cpp
@@ -71,24 +71,24 @@
 
 void node_lease::write()
 {
-    this->store.put(
-        this->key,
-        this->value,
-        this->lease,
-        [this](const base::result<std::uint64_t>& written)
-        {
-            if (written)
-            {
-                this->on_success(&node_lease::renew, renew_interval);
-                return;
-            }
-            // Writing twice does no harm: the value is the same.
-            this->on_failure(written.error(),
-                             written.error().code ==
-                                     base::result_code::no_such_item
-                                 ? &node_lease::take
-                                 : &node_lease::write);
-        });
+    this->store.put(this->key,
+                    this->value,
+                    this->lease,
+                    [this](const base::result<std::uint64_t>& written)
+                    {
+                        if (written)
+                        {
+                            this->on_success(&node_lease::renew,
+                                             renew_interval);
+                            return;
+                        }
+                        // Writing twice does no harm: the value is the same.
+                        this->on_failure(written.error(),
+                                         written.error().code ==
+                                                 base::result_code::no_such_item
+                                             ? &node_lease::take
+                                             : &node_lease::write);
+                    });
 }
 
 void node_lease::renew()
--- a/src/core/relay/record_merge.cpp
+++ b/src/core/relay/record_merge.cpp
@@ -21,8 +21,7 @@
     const auto kept = std::min(limit, records.size());
     const auto middle = records.begin() + static_cast<std::ptrdiff_t>(kept);
     // char_traits<char> compares bytes as unsigned values.
-    std::partial_sort(
-        records.begin(), middle, records.end(), std::greater<>());
+    std::partial_sort(records.begin(), middle, records.end(), std::greater<>());
     std::string result;
     result.reserve(kept * record_bytes);
     for (auto it = records.begin(); it != middle; ++it)
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -43,17 +43,28 @@
 /// @brief Names on the metrics page, in the order of relay_counter.
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(relay_counter::end)>
-    relay_counter_names{"requests",         "answers_ok",
-                        "answers_partial",  "answers_late",
-                        "answers_failed",   "refusals",
-                        "callers_gone",     "sends",
-                        "hedges",           "resends",
-                        "extras_withheld",  "sheds",
-                        "broken_sends",     "not_sent",
-                        "abandoned_sends",  "other_replica",
-                        "connections_opened", "probes",
-                        "store_calls",      "store_failures",
-                        "directory_answers", "log_lines_dropped"};
+    relay_counter_names{"requests",
+                        "answers_ok",
+                        "answers_partial",
+                        "answers_late",
+                        "answers_failed",
+                        "refusals",
+                        "callers_gone",
+                        "sends",
+                        "hedges",
+                        "resends",
+                        "extras_withheld",
+                        "sheds",
+                        "broken_sends",
+                        "not_sent",
+                        "abandoned_sends",
+                        "other_replica",
+                        "connections_opened",
+                        "probes",
+                        "store_calls",
+                        "store_failures",
+                        "directory_answers",
+                        "log_lines_dropped"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -59,10 +59,9 @@
                                time_point now)
 {
     this->in_flight.erase(send);
-    const bool is_failure = result == send_result::broken ||
-                            result == send_result::not_sent ||
-                            result == send_result::abandoned ||
-                            result == send_result::other_here;
+    const bool is_failure =
+        result == send_result::broken || result == send_result::not_sent ||
+        result == send_result::abandoned || result == send_result::other_here;
     this->failed.add(is_failure ? 1.0 : 0.0, now);
     this->failures_in_a_row = is_failure ? this->failures_in_a_row + 1 : 0;
     if (!is_failure)
@@ -96,8 +95,7 @@
     const double load =
         now - this->busy_at < load_validity ? this->busy_share : 0.0;
     const double waiting =
-        cost_of_waiting *
-        (static_cast<double>(this->in_flight.size()) + load);
+        cost_of_waiting * (static_cast<double>(this->in_flight.size()) + load);
     const double failures =
         cost_of_failure * (this->failed.at(now) + this->shed.at(now));
     return std::max(0.1, this->slowness.at(now)) + waiting + failures;
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -111,8 +111,8 @@
     }
 }
 
-std::vector<replica_ptr>
-replica_registry::usable(const std::string& service, time_point now) const
+std::vector<replica_ptr> replica_registry::usable(const std::string& service,
+                                                  time_point now) const
 {
     std::vector<replica_ptr> result;
     const auto found = this->by_service.find(service);
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -46,9 +46,8 @@
     /// @param may_have_lapsed true if the store was away lately, so that the
     ///        entry may come back; the replica is then kept for the grace time
     /// @return true if the replica was known
-    bool remove(const std::string& id,
-                bool may_have_lapsed,
-                base::time_point now);
+    bool
+    remove(const std::string& id, bool may_have_lapsed, base::time_point now);
 
     /// @brief Notes that an entry cannot be decoded: it names no replica.
     void put_unreadable(const std::string& id, base::time_point now);
@@ -61,8 +60,8 @@
     void set_zone_out(const std::string& zone, bool is_out);
 
     /// @brief Replicas of a service that may get new work.
-    [[nodiscard]] std::vector<replica_ptr>
-    usable(const std::string& service, base::time_point now) const;
+    [[nodiscard]] std::vector<replica_ptr> usable(const std::string& service,
+                                                  base::time_point now) const;
 
     /// @brief All replicas that are listed.
     [[nodiscard]] const std::map<std::string, replica_ptr>& all() const
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -157,10 +157,9 @@
     {
         return true;
     }
-    const double over_all_nodes =
-        service->second.cold_requests_per_second *
-            this->settings.cold_overshoot +
-        this->settings.cold_slack;
+    const double over_all_nodes = service->second.cold_requests_per_second *
+                                      this->settings.cold_overshoot +
+                                  this->settings.cold_slack;
     const double own =
         over_all_nodes * cold_safety / static_cast<double>(this->node_count);
     // Below one send a second, sends are spaced further apart.
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -38,7 +38,7 @@
 struct caller_request
 {
     std::shared_ptr<const ports::forwarded_request> message;
-    base::duration time_left{}; ///< how long the caller waits from now on
+    base::duration time_left{};  ///< how long the caller waits from now on
     base::duration round_trip{}; ///< to the caller and back
     bool is_new_connection = false;
 };
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -181,12 +181,10 @@
 duration request_run::hedge_delay() const
 {
     const duration latest(static_cast<duration::rep>(
-        static_cast<double>(
-            duration(this->way->latency_objective).count()) *
+        static_cast<double>(duration(this->way->latency_objective).count()) *
         latest_hedge_share));
-    const auto seen =
-        this->engine.latencies[this->way->name].quantile(hedge_quantile,
-                                                         latest);
+    const auto seen = this->engine.latencies[this->way->name].quantile(
+        hedge_quantile, latest);
     return std::max(std::min(seen, latest),
                     std::min(duration(least_hedge_delay), latest));
 }
@@ -229,15 +227,14 @@
     {
         return false;
     }
-    const bool is_extra =
-        std::any_of(part.tries.begin(),
-                    part.tries.end(),
-                    [](const try_state& attempt)
-                    {
-                        return attempt.send != 0;
-                    });
-    if (is_extra && !this->engine.extras.try_take(
-                        part.service, now, this->extra_part(why)))
+    const bool is_extra = std::any_of(part.tries.begin(),
+                                      part.tries.end(),
+                                      [](const try_state& attempt)
+                                      {
+                                          return attempt.send != 0;
+                                      });
+    if (is_extra &&
+        !this->engine.extras.try_take(part.service, now, this->extra_part(why)))
     {
         this->engine.counters.add(relay_counter::extras_withheld);
         this->log_again(base::log_event::send_withheld, part, *target, why);
@@ -314,9 +311,9 @@
 {
     const auto now = this->engine.runtime.now();
     attempt.is_pending = false;
-    attempt.may_have_run =
-        result == send_result::answered || result == send_result::broken ||
-        result == send_result::abandoned;
+    attempt.may_have_run = result == send_result::answered ||
+                           result == send_result::broken ||
+                           result == send_result::abandoned;
     attempt.target->health.on_result(attempt.send, result, slowness, now);
     if (attempt.is_extra)
     {
@@ -395,9 +392,12 @@
         return;
     }
     static constexpr std::array<relay_counter, 6> counted{
-        relay_counter::sends,         relay_counter::sheds,
-        relay_counter::other_replica, relay_counter::not_sent,
-        relay_counter::broken_sends,  relay_counter::abandoned_sends};
+        relay_counter::sends,
+        relay_counter::sheds,
+        relay_counter::other_replica,
+        relay_counter::not_sent,
+        relay_counter::broken_sends,
+        relay_counter::abandoned_sends};
     if (outcome.result == send_result::answered)
     {
         this->on_answered(index, entry, outcome);
@@ -406,18 +406,16 @@
     {
         this->engine.counters.add(
             counted[static_cast<std::size_t>(outcome.result)]);
-        this->engine.log.write(
-            base::log_event::send_failed,
-            {{"request", this->request.message->id},
-             {"service", part.service},
-             {"replica", entry.target->record.id},
-             {"after_ms", ms_text(taken)},
-             {"reason", outcome.detail}});
-        const bool may_repeat =
-            this->way->is_idempotent || !entry.may_have_run;
+        this->engine.log.write(base::log_event::send_failed,
+                               {{"request", this->request.message->id},
+                                {"service", part.service},
+                                {"replica", entry.target->record.id},
+                                {"after_ms", ms_text(taken)},
+                                {"reason", outcome.detail}});
+        const bool may_repeat = this->way->is_idempotent || !entry.may_have_run;
         const auto why = outcome.result == send_result::shed ? reason::shed
-                         : entry.may_have_run               ? reason::failed
-                                                            : reason::not_sent;
+                         : entry.may_have_run                ? reason::failed
+                                                             : reason::not_sent;
         if (!(may_repeat && this->send_again(index, why)) &&
             !this->is_pending(this->parts[index]))
         {
@@ -446,8 +444,8 @@
     {
         part.failure = answer;
     }
-    const bool is_sent_again = this->way->is_idempotent &&
-                               this->send_again(index, reason::failed);
+    const bool is_sent_again =
+        this->way->is_idempotent && this->send_again(index, reason::failed);
     if (!is_sent_again && !this->is_pending(part))
     {
         part.is_failed = true;
@@ -502,8 +500,8 @@
                                             : result_code::no_replica,
                    "too many shards have failed");
     }
-    else if (answered >= needed && (answered + failed == this->parts.size() ||
-                                    now >= this->cut_at))
+    else if (answered >= needed &&
+             (answered + failed == this->parts.size() || now >= this->cut_at))
     {
         this->answer_search();
     }
@@ -531,13 +529,13 @@
         }
     }
     this->engine.runtime.cancel(this->timer);
-    this->timer =
-        this->engine.runtime.call_at(next,
-                                     [self = this->shared_from_this()]
-                                     {
-                                         self->timer = ports::no_timer;
-                                         self->on_timer();
-                                     });
+    this->timer = this->engine.runtime.call_at(next,
+                                               [self = this->shared_from_this()]
+                                               {
+                                                   self->timer =
+                                                       ports::no_timer;
+                                                   self->on_timer();
+                                               });
 }
 
 void request_run::on_timer()
@@ -717,7 +715,8 @@
         {{"request", this->request.message->id},
          {"route", this->way == nullptr ? "-" : this->way->name},
          {"config",
-          this->config == nullptr ? "-" : std::to_string(this->config->version)},
+          this->config == nullptr ? "-"
+                                  : std::to_string(this->config->version)},
          {"code", std::string(base::name_of(answer.code))},
          {"status", std::to_string(answer.content.status)},
          {"parts", std::to_string(this->parts.size())},
@@ -728,8 +727,8 @@
          {"stragglers",
           this->way == nullptr ? "" : this->describe_stragglers()},
          {"taken_ms", ms_text(taken)}});
-    const bool is_late = this->way != nullptr &&
-                         taken > duration(this->way->latency_objective);
+    const bool is_late =
+        this->way != nullptr && taken > duration(this->way->latency_objective);
     if (is_late)
     {
         counters.add(relay_counter::answers_late);
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -47,7 +47,7 @@
         std::vector<try_state> tries;
         std::optional<ports::replica_answer> answer;
         std::optional<ports::replica_answer> failure; ///< a replica's own
-        bool is_failed = false; ///< no answer will come
+        bool is_failed = false;                       ///< no answer will come
         bool is_hedged = false;
         base::time_point hedge_at{};
         base::time_point answered_at{};
--- a/src/core/relay/source_choice.cpp
+++ b/src/core/relay/source_choice.cpp
@@ -70,9 +70,9 @@
     {
         able.push_back(self);
         const auto readers = expected_readers(able);
-        const bool is_reader = std::find(readers.begin(),
-                                         readers.end(),
-                                         self.name) != readers.end();
+        const bool is_reader =
+            std::find(readers.begin(), readers.end(), self.name) !=
+            readers.end();
         if (is_reader || sources.empty())
         {
             return std::nullopt;
@@ -99,13 +99,13 @@
         return (node.name == following ? 0 : 2) +
                (node.zone == self.zone ? 0 : 1);
     };
-    return std::min_element(sources.begin(),
-                            sources.end(),
-                            [&](const node_record& left,
-                                const node_record& right)
-                            {
-                                return rank(left) < rank(right);
-                            })
+    return std::min_element(
+               sources.begin(),
+               sources.end(),
+               [&](const node_record& left, const node_record& right)
+               {
+                   return rank(left) < rank(right);
+               })
         ->name;
 }
 
--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -155,9 +155,8 @@
     const bool has_changes = !page->items.empty();
     for (auto& item : page->items)
     {
-        item.may_have_lapsed =
-            item.is_removed &&
-            (item.may_have_lapsed || this->may_have_lapsed());
+        item.may_have_lapsed = item.is_removed && (item.may_have_lapsed ||
+                                                   this->may_have_lapsed());
     }
     this->mirror.apply_changes(*page);
     if (has_changes)
@@ -199,8 +198,7 @@
     this->last_trouble = this->runtime.now();
 }
 
-void store_follower::call_later(duration delay,
-                                void (store_follower::*call)())
+void store_follower::call_later(duration delay, void (store_follower::*call)())
 {
     this->runtime.call_after(delay,
                              [this, call, mine = this->generation]
--- a/src/core/relay/store_mirror.cpp
+++ b/src/core/relay/store_mirror.cpp
@@ -67,10 +67,9 @@
 void store_mirror::apply(const ports::store_item& item)
 {
     auto& current = this->items[item.key];
-    const bool is_newer =
-        item.revision > current.revision ||
-        (item.revision == current.revision && item.is_removed &&
-         !current.is_removed);
+    const bool is_newer = item.revision > current.revision ||
+                          (item.revision == current.revision &&
+                           item.is_removed && !current.is_removed);
     if (!is_newer)
     {
         return;
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -44,10 +44,10 @@
 struct send_outcome
 {
     core::relay::send_result result = core::relay::send_result::broken;
-    replica_answer answer;             ///< when answered
-    std::optional<double> busy_share;  ///< the load that the replica reported
+    replica_answer answer;            ///< when answered
+    std::optional<double> busy_share; ///< the load that the replica reported
     std::optional<core::base::duration> cold_for; ///< it said that it is cold
-    std::string detail;                ///< why it failed, for the log
+    std::string detail; ///< why it failed, for the log
 };
 
 /// @brief Sends requests to replicas on kept connections.
--- a/tests/relay/test_relay_parts.cpp
+++ b/tests/relay/test_relay_parts.cpp
@@ -113,7 +113,8 @@
                 {
                     if (budget.try_take("s", now))
                     {
-                        const auto late = std::chrono::milliseconds(random(100));
+                        const auto late =
+                            std::chrono::milliseconds(random(100));
                         arrivals.push_back(now + late);
                         budget.on_settled("s", now + late);
                     }
@@ -377,8 +378,8 @@
     auto reader = node("a", "x");
     reader.reads_store = true;
     const auto self = node("b", "y");
-    BOOST_TEST((choose_source(self, true, {reader, node("a2", "z")}, "") ==
-                "a"));
+    BOOST_TEST(
+        (choose_source(self, true, {reader, node("a2", "z")}, "") == "a"));
     reader.store_age = 2s;
     BOOST_TEST(!choose_source(self, true, {reader}, "a"));
     // A node that the store refuses takes what there is.
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -38,8 +38,7 @@
   public:
     raw_server(boost::asio::io_context& io, std::string reply, bool closes)
         : reply(std::move(reply)), closes(closes),
-          acceptor(io,
-                   {boost::asio::ip::make_address("127.0.0.1"), 0})
+          acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
     {
         this->accept();
     }
@@ -61,8 +60,8 @@
                 if (!error)
                 {
                     ++this->connections;
-                    this->serve(std::make_shared<tcp::socket>(
-                        std::move(opened)));
+                    this->serve(
+                        std::make_shared<tcp::socket>(std::move(opened)));
                     this->accept();
                 }
             });
@@ -101,8 +100,8 @@
 {
     boost::asio::io_context io;
     raw_server server(io, reply, closes);
-    const auto link = std::make_shared<replica_link>(
-        io, [](const replica_link*) {});
+    const auto link =
+        std::make_shared<replica_link>(io, [](const replica_link*) {});
     auto message = std::make_shared<ports::forwarded_request>();
     message->id = "id-1";
     message->method = "GET";
@@ -203,18 +202,17 @@
                                       {"priority", 1},
                                       {"maxAttempts", 2},
                                       {"service", "s"}},
-                         json::object{
-                             {"name", "all"},
-                             {"host", "h.example"},
-                             {"prefix", "/all/"},
-                             {"type", "idempotent"},
-                             {"timeoutMs", 1000},
-                             {"targetLatencyMs", 200},
-                             {"priority", 1},
-                             {"maxAttempts", 2},
-                             {"resultLimit", 5},
-                             {"minSuccessRatio", 1.0},
-                             {"fanoutServices", json::array{"s"}}}}},
+                         json::object{{"name", "all"},
+                                      {"host", "h.example"},
+                                      {"prefix", "/all/"},
+                                      {"type", "idempotent"},
+                                      {"timeoutMs", 1000},
+                                      {"targetLatencyMs", 200},
+                                      {"priority", 1},
+                                      {"maxAttempts", 2},
+                                      {"resultLimit", 5},
+                                      {"minSuccessRatio", 1.0},
+                                      {"fanoutServices", json::array{"s"}}}}},
             {"services",
              json::array{json::object{{"name", "s"},
                                       {"healthCheckPath", "/healthz"},
@@ -360,12 +358,12 @@
     here.ask("/one/x");
     here.io.run_for(100ms);
     BOOST_TEST(here.count(503) == 1U);
-    BOOST_TEST(
-        here.get(here.settings[0].readiness, "/v1/readyz")->status == 503U);
+    BOOST_TEST(here.get(here.settings[0].readiness, "/v1/readyz")->status ==
+               503U);
     here.store.write("op/config", site::configuration(1));
     here.io.run_for(500ms);
-    BOOST_TEST(
-        here.get(here.settings[0].readiness, "/v1/readyz")->status == 200U);
+    BOOST_TEST(here.get(here.settings[0].readiness, "/v1/readyz")->status ==
+               200U);
 }
 
 BOOST_AUTO_TEST_CASE(a_new_configuration_is_in_force_and_an_older_one_never)
@@ -399,8 +397,8 @@
             has_ended = true;
         });
     here.io.run_for(50ms);
-    BOOST_TEST(
-        here.get(here.settings[0].readiness, "/v1/readyz")->status == 503U);
+    BOOST_TEST(here.get(here.settings[0].readiness, "/v1/readyz")->status ==
+               503U);
     here.ask("/one/y"); // of a caller that has not heard yet
     here.io.run_for(500ms);
     BOOST_TEST(here.count(200) == 2U);
@@ -460,8 +458,8 @@
     here.ask("/one/x");
     here.io.run_for(100ms);
     const auto page = here.get(here.settings[0].metrics, "/metrics")->body;
-    BOOST_TEST((page.find("hawthornrelay_requests_total 1\n") !=
-                std::string::npos));
+    BOOST_TEST(
+        (page.find("hawthornrelay_requests_total 1\n") != std::string::npos));
     BOOST_TEST((page.find("hawthornrelay_answer_seconds_count 1\n") !=
                 std::string::npos));
 }
@@ -598,8 +596,7 @@
     const auto outcome = send_over_link(other + own + other, false);
     BOOST_TEST((outcome.result == send_result::answered));
     BOOST_TEST(outcome.answer.body == "new");
-    BOOST_TEST((send_over_link(other, false).result !=
-                send_result::answered));
+    BOOST_TEST((send_over_link(other, false).result != send_result::answered));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -217,13 +217,12 @@
             return replica.record.id == "shard3-a" ? other_here : ok;
         });
     served_in_time(world, 100, 11ms);
-    const auto count =
-        std::count_if(world.replicas.arrivals.begin(),
-                      world.replicas.arrivals.end(),
-                      [](const scripted_replicas::arrival& item)
-                      {
-                          return item.replica == "shard3-a";
-                      });
+    const auto count = std::count_if(world.replicas.arrivals.begin(),
+                                     world.replicas.arrivals.end(),
+                                     [](const scripted_replicas::arrival& item)
+                                     {
+                                         return item.replica == "shard3-a";
+                                     });
     BOOST_TEST(count == 1);
 }
 
@@ -253,13 +252,13 @@
     {
         for (std::size_t i = 0; i < times.size(); ++i)
         {
-            const auto in_second = std::count_if(times.begin(),
-                                                 times.end(),
-                                                 [&](time_point at)
-                                                 {
-                                                     return at >= times[i] &&
-                                                            at < times[i] + 1s;
-                                                 });
+            const auto in_second =
+                std::count_if(times.begin(),
+                              times.end(),
+                              [&](time_point at)
+                              {
+                                  return at >= times[i] && at < times[i] + 1s;
+                              });
             // An eighth of 10 x 1.5 + 5.
             BOOST_TEST(in_second <= 2);
         }
@@ -281,13 +280,12 @@
 {
     relay_world world(always(ok));
     served_in_time(world, 100, 30ms);
-    const auto near =
-        std::count_if(world.replicas.arrivals.begin(),
-                      world.replicas.arrivals.end(),
-                      [](const scripted_replicas::arrival& item)
-                      {
-                          return item.replica.ends_with("-a");
-                      });
+    const auto near = std::count_if(world.replicas.arrivals.begin(),
+                                    world.replicas.arrivals.end(),
+                                    [](const scripted_replicas::arrival& item)
+                                    {
+                                        return item.replica.ends_with("-a");
+                                    });
     BOOST_TEST(near == 2000);
 }
 
@@ -389,7 +387,8 @@
     BOOST_TEST(world.engine.active() == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(an_unknown_path_is_refused_and_an_unknown_configuration_too)
+BOOST_AUTO_TEST_CASE(
+    an_unknown_path_is_refused_and_an_unknown_configuration_too)
 {
     relay_world world(always(ok));
     world.start("q", "/nowhere/x");
@@ -398,7 +397,8 @@
         relay_world::settings(0), world.runtime, world.replicas, world.log);
     relay::caller_answer answer;
     relay::caller_request request;
-    request.message = std::make_shared<hawthornrelay::ports::forwarded_request>();
+    request.message =
+        std::make_shared<hawthornrelay::ports::forwarded_request>();
     request.time_left = 400ms;
     empty.start(std::move(request),
                 [&](relay::caller_answer given)
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -217,9 +217,8 @@
         else if (path == "/v1/kv-lease")
         {
             this->leases.push_back(++this->last_lease);
-            answer(respond,
-                   200,
-                   {{"leaseId", this->last_lease}, {"ttlMs", 4000}});
+            answer(
+                respond, 200, {{"leaseId", this->last_lease}, {"ttlMs", 4000}});
         }
         else if (path == "/v1/kv-txn")
         {
@@ -273,8 +272,8 @@
                 return;
             }
             std::string value;
-            absl::Base64Unescape(
-                std::string(row.at("value").as_string()), &value);
+            absl::Base64Unescape(std::string(row.at("value").as_string()),
+                                 &value);
             const std::string key(row.at("key").as_string());
             this->write(key, value);
             this->items[key].lease = lease;
--- a/tests/support/relay_world.hpp
+++ b/tests/support/relay_world.hpp
@@ -64,11 +64,10 @@
     {
     }
 
-    std::uint64_t
-    send(const relay::replica_ptr& to,
-         std::shared_ptr<const ports::forwarded_request> request,
-         core::base::duration time_left,
-         handler done) override
+    std::uint64_t send(const relay::replica_ptr& to,
+                       std::shared_ptr<const ports::forwarded_request> request,
+                       core::base::duration time_left,
+                       handler done) override
     {
         const auto number = ++this->last;
         const auto how = this->behaviour(*to, request->id);
@@ -232,14 +231,14 @@
         request.time_left = time_left;
         request.round_trip = std::chrono::milliseconds(2);
         const auto begun = this->loop.now();
-        return this->engine.start(
-            std::move(request),
-            [this, id, begun](relay::caller_answer answer)
-            {
-                ++this->answer_count[id];
-                this->answers[id] = std::move(answer);
-                this->taken[id] = this->loop.now() - begun;
-            });
+        return this->engine.start(std::move(request),
+                                  [this, id, begun](relay::caller_answer answer)
+                                  {
+                                      ++this->answer_count[id];
+                                      this->answers[id] = std::move(answer);
+                                      this->taken[id] =
+                                          this->loop.now() - begun;
+                                  });
     }
 
     event_loop loop;
