--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -183,7 +183,7 @@
 
     result<void> start() override
     {
-        const auto opened = this->open_listeners();
+        auto opened = this->open_listeners();
         if (!opened)
         {
             return opened;
@@ -325,7 +325,7 @@
     {
         this->feed.handle(message, respond);
     };
-    const auto opened_peers = this->peers.open(this->settings.peers.text());
+    auto opened_peers = this->peers.open(this->settings.peers.text());
     if (!opened_peers)
     {
         return opened_peers;
@@ -630,11 +630,17 @@
         this->log.write(log_event::replica_removed,
                         {{"replica", id}, {"reason", "lapsed"}});
     }
+    for (const auto& name : this->nodes.take_silent(now))
+    {
+        this->log.write(log_event::node_silent, {{"peer", name}});
+    }
     this->pool.drop_removed();
     this->share_bounds();
     const auto& config = this->engine.configuration_in_force();
-    for (const auto& [id, target] : this->engine.registry.all())
+    for (const auto& listed : this->engine.registry.all())
     {
+        const auto& id = listed.first;
+        const auto& target = listed.second;
         const bool is_in_use =
             config != nullptr &&
             config->services.contains(target->record.service) &&
--- a/src/adapters/relay/replica_link.cpp
+++ b/src/adapters/relay/replica_link.cpp
@@ -120,7 +120,7 @@
                               ports::send_outcome outcome;
                               outcome.result = send_result::not_sent;
                               outcome.detail = "no time left";
-                              self->finish(std::move(outcome));
+                              self->finish(outcome);
                           });
         return;
     }
@@ -267,7 +267,7 @@
     {
         this->reset();
     }
-    this->finish(std::move(outcome));
+    this->finish(outcome);
 }
 
 void replica_link::rest()
@@ -292,7 +292,7 @@
     }
 }
 
-void replica_link::finish(ports::send_outcome outcome)
+void replica_link::finish(const ports::send_outcome& outcome)
 {
     if (!this->current)
     {
@@ -309,7 +309,7 @@
     outcome.result = this->is_sent ? result : send_result::not_sent;
     outcome.detail = std::move(detail);
     this->reset();
-    this->finish(std::move(outcome));
+    this->finish(outcome);
 }
 
 void replica_link::reset()
--- a/src/adapters/relay/replica_link.hpp
+++ b/src/adapters/relay/replica_link.hpp
@@ -81,12 +81,10 @@
     void parse();
     void on_message();
     void begin_message();
-    void finish(ports::send_outcome outcome);
+    void finish(const ports::send_outcome& outcome);
     void fail(core::relay::send_result result, std::string detail);
     void reset();
     void rest();
-    [[nodiscard]] ports::send_outcome
-    outcome_of(parser_type::value_type message) const;
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -82,6 +82,21 @@
     return was_silent;
 }
 
+std::vector<std::string> node_directory::take_silent(time_point now)
+{
+    std::vector<std::string> result;
+    for (auto& [name, item] : this->entries)
+    {
+        const bool was_silent = item.is_silent;
+        item.is_silent = item.was_heard && !this->is_heard(item, now);
+        if (item.is_silent && !was_silent)
+        {
+            result.push_back(name);
+        }
+    }
+    return result;
+}
+
 std::vector<node_record> node_directory::heard(time_point now) const
 {
     std::vector<node_record> result;
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -57,6 +57,9 @@
         return this->own;
     }
 
+    /// @brief Nodes that have fallen silent since the last call.
+    std::vector<std::string> take_silent(base::time_point now);
+
     /// @brief Nodes that are heard, this one not included.
     [[nodiscard]] std::vector<node_record> heard(base::time_point now) const;
 
@@ -78,6 +81,7 @@
         base::time_point listed_at{};
         base::time_point heard_at{};
         bool was_heard = false;
+        bool is_silent = false;
         base::time_point ended_at{}; ///< when it was last known to run
     };
 
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -46,7 +46,7 @@
 
 /// Part of the bound on extra sends that hedges may fill; the rest is kept for
 /// parts that have no other send under way.
-constexpr double hedge_part = 0.6;
+constexpr double hedge_part = 0.9;
 
 /// After a caller has left, its sends may still finish in this time and keep
 /// their connections; then they are reset.
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -248,8 +248,9 @@
             sends[item.replica].push_back(item.at);
         }
     }
-    for (const auto& [id, times] : sends)
+    for (const auto& sent : sends)
     {
+        const auto& times = sent.second;
         for (std::size_t i = 0; i < times.size(); ++i)
         {
             const auto in_second =
