--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -5,8 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/json.hpp>
-
 #include <adapters/asio/asio_runtime.hpp>
 #include <adapters/http/server.hpp>
 #include <adapters/log/stdout_log.hpp>
@@ -14,6 +12,7 @@
 #include <adapters/relay/metrics_page.hpp>
 #include <adapters/relay/peer_feed.hpp>
 #include <adapters/relay/replica_pool.hpp>
+#include <adapters/relay/store_view.hpp>
 #include <core/relay/entry_choice.hpp>
 #include <core/relay/node_directory.hpp>
 #include <core/relay/node_lease.hpp>
@@ -22,14 +21,12 @@
 #include <core/relay/store_follower.hpp>
 #include <core/relay/store_mirror.hpp>
 #include <platform/caller_wire.hpp>
-#include <platform/decode.hpp>
 #include <platform/names.hpp>
 #include <platform/store_client.hpp>
 
 namespace hawthornrelay::adapters::relay
 {
 
-namespace json = boost::json;
 namespace names = platform::names;
 using core::base::log_event;
 using core::base::result;
@@ -70,35 +67,6 @@
             .count());
 }
 
-std::string write_node_entry(const node_record& self)
-{
-    return json::serialize(json::object{{"run", self.run},
-                                        {"zone", self.zone},
-                                        {"callers", self.callers},
-                                        {"peers", self.peers}});
-}
-
-result<node_record> read_node_entry(std::string name, const std::string& value)
-{
-    json::error_code error;
-    const auto parsed = json::parse(value, error);
-    try
-    {
-        const auto& from = parsed.as_object();
-        node_record record;
-        record.name = std::move(name);
-        record.run = from.at("run").to_number<std::uint64_t>();
-        record.zone = from.at("zone").as_string();
-        record.callers = from.at("callers").as_string();
-        record.peers = from.at("peers").as_string();
-        return record;
-    }
-    catch (const std::exception& fault)
-    {
-        return core::base::fail(result_code::invalid_value, fault.what());
-    }
-}
-
 core::relay::engine_settings engine_settings_of(const relay_settings& from)
 {
     core::relay::engine_settings result;
@@ -123,17 +91,6 @@
     return record;
 }
 
-/// The rest of a key after a prefix, or nothing.
-std::optional<std::string> after_prefix(const std::string& key,
-                                        std::string_view prefix)
-{
-    if (!key.starts_with(prefix))
-    {
-        return std::nullopt;
-    }
-    return key.substr(prefix.size());
-}
-
 class node final : public relay_node
 {
   public:
@@ -157,6 +114,14 @@
                 {
                     this->on_heard(record);
                 }),
+          view(this->runtime,
+               this->engine,
+               this->nodes,
+               this->log,
+               [this](const core::relay::caller_limits& limits)
+               {
+                   this->on_limits(limits);
+               }),
           mirror(
               [this](const ports::store_item& item)
               {
@@ -212,9 +177,7 @@
     void on_source_reach(bool is_reachable, const std::string& reason);
     void on_store_reach(bool is_reachable, const std::string& reason);
     void on_item(const ports::store_item& item);
-    void on_configuration(const ports::store_item& item);
-    void on_replica(const std::string& id, const ports::store_item& item);
-    void on_node(const std::string& name, const ports::store_item& item);
+    void on_limits(const core::relay::caller_limits& from);
     void on_heard(const node_record& record);
     void share_bounds();
     void update_self();
@@ -241,6 +204,7 @@
     platform::store_client store;
     core::relay::node_directory nodes;
     beacon peers;
+    store_view view;
     core::relay::store_mirror mirror;
     peer_feed feed;
     core::relay::store_follower follower;
@@ -391,25 +355,7 @@
 
 void node::on_item(const ports::store_item& item)
 {
-    if (item.key == names::configuration_key)
-    {
-        this->on_configuration(item);
-    }
-    else if (const auto zone = after_prefix(item.key, names::zone_out_prefix))
-    {
-        this->engine.registry.set_zone_out(*zone, !item.is_removed);
-        this->log.write(
-            item.is_removed ? log_event::zone_back : log_event::zone_out,
-            {{"zone", *zone}, {"revision", std::to_string(item.revision)}});
-    }
-    else if (const auto id = after_prefix(item.key, names::replica_prefix))
-    {
-        this->on_replica(*id, item);
-    }
-    else if (const auto name = after_prefix(item.key, names::node_prefix))
-    {
-        this->on_node(*name, item);
-    }
+    this->view.apply(item);
     if (!this->is_feed_due)
     {
         // One answer carries all changes that came together.
@@ -424,99 +370,14 @@
     }
 }
 
-void node::on_configuration(const ports::store_item& item)
+void node::on_limits(const core::relay::caller_limits& from)
 {
-    if (item.is_removed)
-    {
-        return;
-    }
-    auto decoded = platform::decode_configuration(item.value);
-    if (!decoded)
-    {
-        this->log.write(log_event::configuration_unreadable,
-                        {{"revision", std::to_string(item.revision)},
-                         {"error", decoded.error().detail}});
-        return;
-    }
-    const auto& current = this->engine.configuration_in_force();
-    if (current != nullptr && decoded->version <= current->version)
-    {
-        return;
-    }
-    const auto config =
-        std::make_shared<const core::relay::configuration>(std::move(*decoded));
-    this->engine.set_configuration(config);
     http::server_limits limits;
-    limits.body_bytes = config->limits.body_bytes;
-    limits.header_bytes =
-        static_cast<std::uint32_t>(config->limits.header_bytes);
-    limits.idle = config->limits.idle_timeout;
-    limits.header = config->limits.header_timeout;
+    limits.body_bytes = from.body_bytes;
+    limits.header_bytes = static_cast<std::uint32_t>(from.header_bytes);
+    limits.idle = from.idle_timeout;
+    limits.header = from.header_timeout;
     this->callers->set_limits(limits);
-    this->share_bounds();
-    this->log.write(log_event::configuration_in_force,
-                    {{"version", std::to_string(config->version)},
-                     {"revision", std::to_string(item.revision)},
-                     {"routes", std::to_string(config->routes.size())}});
-}
-
-void node::on_replica(const std::string& id, const ports::store_item& item)
-{
-    const auto now = this->runtime.now();
-    if (item.is_removed)
-    {
-        if (this->engine.registry.remove(id, item.may_have_lapsed, now))
-        {
-            this->log.write(
-                item.may_have_lapsed ? log_event::replica_lapsing
-                                     : log_event::replica_removed,
-                {{"replica", id}, {"revision", std::to_string(item.revision)}});
-        }
-        return;
-    }
-    const auto record = platform::decode_replica(id, item.value);
-    if (!record)
-    {
-        this->engine.registry.put_unreadable(id, now);
-        this->log.write(log_event::replica_unreadable,
-                        {{"replica", id}, {"error", record.error().detail}});
-        return;
-    }
-    if (this->engine.registry.put(*record, now))
-    {
-        this->log.write(log_event::replica_listed,
-                        {{"replica", id},
-                         {"service", record->service},
-                         {"address", record->address},
-                         {"zone", record->zone},
-                         {"state", record->is_draining ? "draining" : "ready"},
-                         {"revision", std::to_string(item.revision)}});
-    }
-}
-
-void node::on_node(const std::string& name, const ports::store_item& item)
-{
-    const auto now = this->runtime.now();
-    if (item.is_removed)
-    {
-        this->nodes.on_unlisted(name, now);
-        this->log.write(log_event::node_unlisted, {{"peer", name}});
-    }
-    else
-    {
-        const auto record = read_node_entry(name, item.value);
-        if (!record)
-        {
-            this->log.write(
-                log_event::bad_input,
-                {{"key", item.key}, {"error", record.error().detail}});
-            return;
-        }
-        this->nodes.on_listed(*record, now);
-        this->log.write(log_event::node_listed,
-                        {{"peer", name}, {"callers", record->callers}});
-    }
-    this->share_bounds();
 }
 
 void node::on_heard(const node_record& record)
--- /dev/null
+++ b/src/adapters/relay/store_view.cpp
@@ -0,0 +1,188 @@
+#include <adapters/relay/store_view.hpp>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include <platform/decode.hpp>
+#include <platform/names.hpp>
+
+namespace hawthornrelay::adapters::relay
+{
+
+namespace json = boost::json;
+namespace names = platform::names;
+using core::base::log_event;
+using core::base::result;
+using core::base::result_code;
+using core::relay::node_record;
+
+namespace
+{
+
+result<node_record> read_node_entry(std::string name, const std::string& value)
+{
+    json::error_code error;
+    const auto parsed = json::parse(value, error);
+    try
+    {
+        const auto& from = parsed.as_object();
+        node_record record;
+        record.name = std::move(name);
+        record.run = from.at("run").to_number<std::uint64_t>();
+        record.zone = from.at("zone").as_string();
+        record.callers = from.at("callers").as_string();
+        record.peers = from.at("peers").as_string();
+        return record;
+    }
+    catch (const std::exception& fault)
+    {
+        return core::base::fail(result_code::invalid_value, fault.what());
+    }
+}
+
+/// The rest of a key after a prefix, or nothing.
+std::optional<std::string> after_prefix(const std::string& key,
+                                        std::string_view prefix)
+{
+    if (!key.starts_with(prefix))
+    {
+        return std::nullopt;
+    }
+    return key.substr(prefix.size());
+}
+
+} // namespace
+
+std::string write_node_entry(const node_record& self)
+{
+    return json::serialize(json::object{{"run", self.run},
+                                        {"zone", self.zone},
+                                        {"callers", self.callers},
+                                        {"peers", self.peers}});
+}
+
+store_view::store_view(ports::runtime& runtime,
+                       core::relay::request_engine& engine,
+                       core::relay::node_directory& nodes,
+                       ports::event_log& log,
+                       limits_handler on_limits)
+    : runtime(runtime), engine(engine), nodes(nodes), log(log),
+      on_limits(std::move(on_limits))
+{
+}
+
+void store_view::apply(const ports::store_item& item)
+{
+    if (item.key == names::configuration_key)
+    {
+        this->on_configuration(item);
+    }
+    else if (const auto zone = after_prefix(item.key, names::zone_out_prefix))
+    {
+        this->engine.registry.set_zone_out(*zone, !item.is_removed);
+        this->log.write(
+            item.is_removed ? log_event::zone_back : log_event::zone_out,
+            {{"zone", *zone}, {"revision", std::to_string(item.revision)}});
+    }
+    else if (const auto id = after_prefix(item.key, names::replica_prefix))
+    {
+        this->on_replica(*id, item);
+    }
+    else if (const auto name = after_prefix(item.key, names::node_prefix))
+    {
+        this->on_node(*name, item);
+    }
+}
+
+void store_view::on_configuration(const ports::store_item& item)
+{
+    if (item.is_removed)
+    {
+        return;
+    }
+    auto decoded = platform::decode_configuration(item.value);
+    if (!decoded)
+    {
+        this->log.write(log_event::configuration_unreadable,
+                        {{"revision", std::to_string(item.revision)},
+                         {"error", decoded.error().detail}});
+        return;
+    }
+    const auto& current = this->engine.configuration_in_force();
+    if (current != nullptr && decoded->version <= current->version)
+    {
+        return;
+    }
+    const auto config =
+        std::make_shared<const core::relay::configuration>(std::move(*decoded));
+    this->engine.set_configuration(config);
+    this->on_limits(config->limits);
+    this->log.write(log_event::configuration_in_force,
+                    {{"version", std::to_string(config->version)},
+                     {"revision", std::to_string(item.revision)},
+                     {"routes", std::to_string(config->routes.size())}});
+}
+
+void store_view::on_replica(const std::string& id,
+                            const ports::store_item& item)
+{
+    const auto now = this->runtime.now();
+    if (item.is_removed)
+    {
+        if (this->engine.registry.remove(id, item.may_have_lapsed, now))
+        {
+            this->log.write(
+                item.may_have_lapsed ? log_event::replica_lapsing
+                                     : log_event::replica_removed,
+                {{"replica", id}, {"revision", std::to_string(item.revision)}});
+        }
+        return;
+    }
+    const auto record = platform::decode_replica(id, item.value);
+    if (!record)
+    {
+        this->engine.registry.put_unreadable(id, now);
+        this->log.write(log_event::replica_unreadable,
+                        {{"replica", id}, {"error", record.error().detail}});
+        return;
+    }
+    if (this->engine.registry.put(*record, now))
+    {
+        this->log.write(log_event::replica_listed,
+                        {{"replica", id},
+                         {"service", record->service},
+                         {"address", record->address},
+                         {"zone", record->zone},
+                         {"state", record->is_draining ? "draining" : "ready"},
+                         {"revision", std::to_string(item.revision)}});
+    }
+}
+
+void store_view::on_node(const std::string& name, const ports::store_item& item)
+{
+    const auto now = this->runtime.now();
+    if (item.is_removed)
+    {
+        this->nodes.on_unlisted(name, now);
+        this->log.write(log_event::node_unlisted, {{"peer", name}});
+    }
+    else
+    {
+        const auto record = read_node_entry(name, item.value);
+        if (!record)
+        {
+            this->log.write(
+                log_event::bad_input,
+                {{"key", item.key}, {"error", record.error().detail}});
+            return;
+        }
+        this->nodes.on_listed(*record, now);
+        this->log.write(log_event::node_listed,
+                        {{"peer", name}, {"callers", record->callers}});
+    }
+}
+
+} // namespace hawthornrelay::adapters::relay
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -13,6 +13,13 @@
 namespace hawthornrelay::core::relay
 {
 
+/// @brief A length of time in whole milliseconds, for the log.
+inline std::string ms_text(base::duration value)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 /// @brief The state of one request: a part for each shard, or a single part.
 class request_run : public std::enable_shared_from_this<request_run>
 {
