Hedge above the 96th percentile of part times

Cause: hedges at the 92nd took extra sends, bytes between zones and slots from parts that needed them.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -12,12 +12,12 @@
 #include <adapters/relay/metrics_page.hpp>
 #include <adapters/relay/peer_feed.hpp>
 #include <adapters/relay/replica_pool.hpp>
+#include <adapters/relay/source_switch.hpp>
 #include <adapters/relay/store_view.hpp>
 #include <core/relay/entry_choice.hpp>
 #include <core/relay/node_directory.hpp>
 #include <core/relay/node_lease.hpp>
 #include <core/relay/request_engine.hpp>
-#include <core/relay/source_choice.hpp>
 #include <core/relay/store_follower.hpp>
 #include <core/relay/store_mirror.hpp>
 #include <platform/caller_wire.hpp>
@@ -45,9 +45,6 @@
 /// Interval of keeping connections open and checking suspect replicas.
 constexpr std::chrono::milliseconds upkeep_interval{250};
 
-/// Calls of a reader that is not followed any more have ended by then.
-constexpr std::chrono::seconds former_reader_time{10};
-
 /// How long callers keep an answer of the directory.
 constexpr std::chrono::seconds address_ttl{1};
 
@@ -142,7 +139,8 @@
                 [this](bool is_reachable, const std::string& reason)
                 {
                     this->on_store_reach(is_reachable, reason);
-                })
+                }),
+          source(io, this->runtime, this->store, this->follower, this->log)
     {
     }
 
@@ -159,7 +157,7 @@
              {"callers", this->settings.callers.text()},
              {"run", std::to_string(this->nodes.self().run)},
              {"first_start", this->settings.is_first_start ? "1" : "0"}});
-        this->follower.follow(this->store);
+        this->source.follow_store();
         this->lease.start();
         this->tell_others();
         this->upkeep();
@@ -181,7 +179,6 @@
     void on_heard(const node_record& record);
     void share_bounds();
     void update_self();
-    void choose_source();
     void tell_others();
     void send_beacons();
     void upkeep();
@@ -209,10 +206,7 @@
     peer_feed feed;
     core::relay::store_follower follower;
     core::relay::node_lease lease;
-    std::string followed;
-    std::unique_ptr<peer_reader> followed_reader;
-    /// Calls under way may still use a reader that is not followed any more.
-    std::vector<std::unique_ptr<peer_reader>> former_readers;
+    source_switch source;
     bool is_feed_due = false;
     std::unique_ptr<http::server> callers;
     std::unique_ptr<http::server> readiness;
@@ -346,11 +340,11 @@
 
 void node::on_source_reach(bool is_reachable, const std::string& reason)
 {
-    this->log.write(
-        is_reachable ? log_event::source_regained : log_event::source_lost,
-        {{"source", this->followed.empty() ? "store" : this->followed},
-         {"revision", std::to_string(this->mirror.revision())},
-         {"reason", reason}});
+    this->log.write(is_reachable ? log_event::source_regained
+                                 : log_event::source_lost,
+                    {{"source", this->source.name()},
+                     {"revision", std::to_string(this->mirror.revision())},
+                     {"reason", reason}});
 }
 
 void node::on_item(const ports::store_item& item)
@@ -401,60 +395,17 @@
     auto& self = this->nodes.self_to_change();
     self.is_stopping = this->is_stopping;
     self.is_ready = this->is_ready();
-    self.reads_store = this->followed.empty();
+    self.reads_store = this->source.reads_store();
     // A renewed lease shows that the path to the store is whole.
     const auto known_at =
         std::max(this->follower.answered_at(), this->lease.answered_at());
     self.store_age = now - known_at;
 }
 
-void node::choose_source()
-{
-    const auto heard = this->nodes.heard(this->runtime.now());
-    const bool may_read =
-        this->lease.is_reachable() &&
-        (this->follower.is_reachable() || !this->followed.empty());
-    const auto chosen = core::relay::choose_source(
-        this->nodes.self(), may_read, heard, this->followed);
-    const auto name = chosen.value_or("");
-    if (name == this->followed)
-    {
-        return;
-    }
-    this->followed = name;
-    this->log.write(log_event::source_chosen,
-                    {{"source", name.empty() ? "store" : name},
-                     {"revision", std::to_string(this->mirror.revision())}});
-    if (this->followed_reader != nullptr)
-    {
-        this->former_readers.push_back(std::move(this->followed_reader));
-        this->runtime.call_after(former_reader_time,
-                                 [this]
-                                 {
-                                     this->former_readers.erase(
-                                         this->former_readers.begin());
-                                 });
-    }
-    if (name.empty())
-    {
-        this->follower.follow(this->store);
-        return;
-    }
-    const auto found = std::find_if(heard.begin(),
-                                    heard.end(),
-                                    [&](const node_record& record)
-                                    {
-                                        return record.name == name;
-                                    });
-    this->followed_reader =
-        std::make_unique<peer_reader>(this->io, found->peers);
-    this->follower.follow(*this->followed_reader);
-}
-
 void node::tell_others()
 {
     this->update_self();
-    this->choose_source();
+    this->source.update(this->nodes, this->lease.is_reachable());
     this->send_beacons();
     this->runtime.call_after(beacon_interval,
                              [this]
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -16,7 +16,7 @@
 {
 
 /// Part latencies above this quantile are hedged.
-constexpr double hedge_quantile = 0.92;
+constexpr double hedge_quantile = 0.96;
 
 /// No hedge before this time, whatever the quantile.
 constexpr std::chrono::milliseconds least_hedge_delay{8};
