--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -90,7 +90,7 @@
     return this->failures_in_a_row >= suspect_after;
 }
 
-double replica_health::cost(time_point now) const
+double replica_health::cost(double distance, time_point now) const
 {
     const double load =
         now - this->busy_at < load_validity ? this->busy_share : 0.0;
@@ -98,7 +98,8 @@
         cost_of_waiting * (static_cast<double>(this->in_flight.size()) + load);
     const double failures =
         cost_of_failure * (this->failed.at(now) + this->shed.at(now));
-    return std::max(0.1, this->slowness.at(now)) + waiting + failures;
+    return std::max(0.1, this->slowness.at(now)) * distance + waiting +
+           failures;
 }
 
 duration replica_health::oldest_wait(time_point now) const
--- a/src/core/relay/replica_health.hpp
+++ b/src/core/relay/replica_health.hpp
@@ -75,7 +75,8 @@
 
     /// @brief The expected time of a request over the usual one; includes the
     ///        chance of failures.
-    [[nodiscard]] double cost(base::time_point now) const;
+    /// @param distance multiplies the time, for replicas that are far
+    [[nodiscard]] double cost(double distance, base::time_point now) const;
 
     /// @brief The age of the oldest send without an outcome, zero if none.
     [[nodiscard]] base::duration oldest_wait(base::time_point now) const;
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -114,11 +114,9 @@
     {
         const auto& candidate =
             candidates[(i + this->next_choice) % candidates.size()];
-        double cost = candidate->health.cost(now);
-        if (candidate->record.zone != this->settings.zone)
-        {
-            cost *= remote_zone_factor;
-        }
+        const bool is_near = candidate->record.zone == this->settings.zone;
+        double cost =
+            candidate->health.cost(is_near ? 1.0 : remote_zone_factor, now);
         if (candidate->health.oldest_wait(now) > usual)
         {
             cost += cost_of_stall;
