Learn the callers' usual deadline; count one round trip

Cause: the time that a caller had used was taken from the route's timeout, which operators change, and a new connection was charged a second round trip that its shorter time left already shows. The usual deadline of a route is now the 90th percentile of the time left, its timeout until 32 requests were seen.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -404,7 +404,6 @@
         this->exchange = this->owner->next_exchange++;
         auto incoming = to_request(std::move(message));
         incoming.exchange = this->exchange;
-        incoming.is_first_on_connection = this->requests++ == 0;
         incoming.round_trip = round_trip_of(this->socket);
         this->is_continued = false;
         this->read();
@@ -518,7 +517,6 @@
     beast_server* owner;
     state current = state::idle;
     std::uint64_t exchange = 0;
-    std::uint64_t requests = 0;
     bool is_reading = false;
     bool is_continued = false;
     bool keep_alive = true;
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -57,6 +57,11 @@
                   {
                       return !names.contains(item.first);
                   });
+    std::erase_if(this->caller_deadlines,
+                  [&](const auto& item)
+                  {
+                      return !names.contains(item.first);
+                  });
     std::erase_if(this->splits,
                   [&](const auto& item)
                   {
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -40,7 +40,6 @@
     std::shared_ptr<const ports::forwarded_request> message;
     base::duration time_left{};  ///< how long the caller waits from now on
     base::duration round_trip{}; ///< to the caller and back
-    bool is_new_connection = false;
 };
 
 /// @brief The answer to a caller.
@@ -125,6 +124,8 @@
     unsigned node_count = 1;
     /// Of the parts of each route's requests.
     std::map<std::string, dispatch::latency_window> latencies;
+    /// The time that callers of each route had left.
+    std::map<std::string, dispatch::latency_window> caller_deadlines;
     std::map<std::string, weighted_choice> splits;
     std::map<std::uint64_t, std::shared_ptr<class request_run>> runs;
     std::uint64_t next_run = 1;
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::milliseconds stalled_hedge_delay{5};
 
 /// Time kept for merging and writing an answer before the objective.
-constexpr std::chrono::milliseconds cut_reserve{4};
+constexpr std::chrono::milliseconds cut_reserve{5};
 
 /// Round trip assumed for a caller when none was measured.
 constexpr std::chrono::milliseconds default_round_trip{6};
@@ -36,6 +36,10 @@
 /// Time for a final answer to reach the caller before its deadline.
 constexpr std::chrono::milliseconds deadline_reserve{8};
 
+/// Most callers of a route state the same deadline at their first attempt; few
+/// are more patient.
+constexpr double usual_deadline = 0.9;
+
 /// A request with less time is refused at once.
 constexpr std::chrono::milliseconds least_time_left{2};
 
@@ -152,13 +156,15 @@
     const duration round_trip = this->request.round_trip.count() > 0
                                     ? this->request.round_trip
                                     : duration(default_round_trip);
-    // A new connection has cost the caller one more round trip.
-    const duration on_the_way =
-        this->request.is_new_connection ? round_trip * 2 : round_trip;
-    // A repeated attempt has less time than the route allows.
+    // What a repeated attempt, or a new connection, has cost the caller before
+    // shows in the time that it has left.
+    auto& deadlines = this->engine.caller_deadlines[this->way->name];
+    deadlines.add(this->request.time_left);
+    const duration whole =
+        deadlines.quantile(usual_deadline, timeout);
     const duration used =
-        std::max(duration(0), timeout - this->request.time_left);
-    this->cut_at = this->started + this->way->latency_objective - on_the_way -
+        std::max(duration(0), whole - this->request.time_left);
+    this->cut_at = this->started + this->way->latency_objective - round_trip -
                    cut_reserve - used;
 }
 
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -129,6 +129,30 @@
     BOOST_TEST((world.taken["q"] >= 60ms));
 }
 
+BOOST_AUTO_TEST_CASE(the_cut_allows_for_time_that_the_caller_has_used)
+{
+    relay_world world(
+        [](const relay::replica& replica, const std::string&)
+        {
+            return replica.record.service == "shard3" ? silent : ok;
+        });
+    auto longer = std::make_shared<relay::configuration>(*world.config);
+    longer->version = 2;
+    longer->routes.front().timeout = 900ms;
+    world.engine.set_configuration(longer);
+    for (int i = 0; i < 40; ++i)
+    {
+        world.start("first" + std::to_string(i), "/s/x", 400ms);
+        world.loop.run_for(200ms);
+    }
+    world.start("again", "/s/x", 370ms);
+    world.loop.run_for(1s);
+    BOOST_TEST((world.taken["first39"] >= 70ms));
+    BOOST_TEST((world.taken["first39"] <= 78ms));
+    BOOST_TEST((world.taken["again"] >= 40ms));
+    BOOST_TEST((world.taken["again"] <= 48ms));
+}
+
 BOOST_AUTO_TEST_CASE(too_many_dead_shards_fail_at_once)
 {
     relay_world world(
