--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -160,8 +160,7 @@
     // shows in the time that it has left.
     auto& deadlines = this->engine.caller_deadlines[this->way->name];
     deadlines.add(this->request.time_left);
-    const duration whole =
-        deadlines.quantile(usual_deadline, timeout);
+    const duration whole = deadlines.quantile(usual_deadline, timeout);
     const duration used =
         std::max(duration(0), whole - this->request.time_left);
     this->cut_at = this->started + this->way->latency_objective - round_trip -
