--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -540,6 +540,7 @@
     std::vector<std::string> addresses;
     const auto usable = core::relay::choose_entries(
         this->nodes.usable(this->runtime.now()), question->zone);
+    addresses.reserve(usable.size());
     for (const auto& item : usable)
     {
         addresses.push_back(item.callers);
