Serve a large fleet's callers with its strongest nodes; the others stand by

Change: a node is an entry or a standby (core/relay/entry_duty). Entries alone are named to callers, keep a key in the store, keep connections and divide the bounds. Standbys follow an entry of their zone and ask it whether it runs. Membership leaves relay_node for a file of its own.

--- a/src/adapters/relay/beacon.cpp
+++ b/src/adapters/relay/beacon.cpp
@@ -92,7 +92,10 @@
                                                self.is_stopping,
                                                self.is_ready,
                                                self.reads_store,
-                                               store_age_ms(self)));
+                                               store_age_ms(self),
+                                               self.millicores,
+                                               self.is_entry,
+                                               self.wants_reply));
     boost::system::error_code ignored;
     this->socket.send_to(
         boost::asio::buffer(builder.GetBufferPointer(), builder.GetSize()),
@@ -138,6 +141,9 @@
     record.is_ready = message->ready();
     record.reads_store = message->reads_store();
     record.store_age = std::chrono::milliseconds(message->store_age_ms());
+    record.millicores = message->millicores();
+    record.is_entry = message->entry();
+    record.wants_reply = message->asks();
     if (!record.name.empty())
     {
         this->on_heard(record);
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -8,40 +8,30 @@
 #include <adapters/asio/asio_runtime.hpp>
 #include <adapters/http/server.hpp>
 #include <adapters/log/stdout_log.hpp>
-#include <adapters/relay/beacon.hpp>
+#include <adapters/relay/membership.hpp>
 #include <adapters/relay/metrics_page.hpp>
 #include <adapters/relay/peer_feed.hpp>
 #include <adapters/relay/replica_pool.hpp>
-#include <adapters/relay/source_switch.hpp>
 #include <adapters/relay/store_view.hpp>
 #include <core/relay/entry_choice.hpp>
-#include <core/relay/node_directory.hpp>
-#include <core/relay/node_lease.hpp>
 #include <core/relay/request_engine.hpp>
 #include <core/relay/store_follower.hpp>
 #include <core/relay/store_mirror.hpp>
 #include <platform/caller_wire.hpp>
-#include <platform/names.hpp>
 #include <platform/store_client.hpp>
 
 namespace hawthornrelay::adapters::relay
 {
 
-namespace names = platform::names;
 using core::base::log_event;
 using core::base::result;
 using core::base::result_code;
-using core::relay::node_record;
 using core::relay::relay_counter;
 using core::relay::relay_settings;
 
 namespace
 {
 
-/// Interval of the messages between nodes; three may be lost before a node is
-/// taken for silent.
-constexpr std::chrono::milliseconds beacon_interval{200};
-
 /// Interval of keeping connections open and checking suspect replicas.
 constexpr std::chrono::milliseconds upkeep_interval{250};
 
@@ -56,14 +46,6 @@
 /// Interval of checking whether a stopping process has finished.
 constexpr std::chrono::milliseconds stop_check{50};
 
-std::uint64_t new_run()
-{
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
 core::relay::engine_settings engine_settings_of(const relay_settings& from)
 {
     core::relay::engine_settings result;
@@ -77,17 +59,6 @@
     return result;
 }
 
-node_record self_of(const relay_settings& from)
-{
-    node_record record;
-    record.name = from.node_name;
-    record.run = new_run();
-    record.zone = from.zone;
-    record.callers = from.callers.text();
-    record.peers = from.peers.text();
-    return record;
-}
-
 class node final : public relay_node
 {
   public:
@@ -105,20 +76,6 @@
                 {
                     this->engine.counters.add(relay_counter::store_calls);
                 }),
-          nodes(self_of(this->settings)),
-          peers(io,
-                [this](const node_record& record)
-                {
-                    this->on_heard(record);
-                }),
-          view(this->runtime,
-               this->engine,
-               this->nodes,
-               this->log,
-               [this](const core::relay::caller_limits& limits)
-               {
-                   this->on_limits(limits);
-               }),
           mirror(
               [this](const ports::store_item& item)
               {
@@ -131,16 +88,32 @@
                    {
                        this->on_source_reach(is_reachable, reason);
                    }),
-          lease(this->runtime,
-                this->store,
-                std::string(names::node_prefix) + this->settings.node_name,
-                write_node_entry(this->nodes.self()),
-                this->settings.shortest_lease,
-                [this](bool is_reachable, const std::string& reason)
-                {
-                    this->on_store_reach(is_reachable, reason);
-                }),
-          source(io, this->runtime, this->store, this->follower, this->log)
+          fleet({.io = io,
+                 .runtime = this->runtime,
+                 .store = this->store,
+                 .log = this->log,
+                 .mirror = this->mirror,
+                 .follower = this->follower,
+                 .is_ready =
+                     [this]
+                 {
+                     return this->is_ready();
+                 },
+                 .on_store_lost =
+                     [this]
+                 {
+                     this->follower.note_trouble();
+                     this->engine.counters.add(relay_counter::store_failures);
+                 }},
+                this->settings),
+          view(this->runtime,
+               this->engine,
+               this->fleet.nodes,
+               this->log,
+               [this](const core::relay::caller_limits& limits)
+               {
+                   this->on_limits(limits);
+               })
     {
     }
 
@@ -155,11 +128,10 @@
             log_event::relay_started,
             {{"zone", this->settings.zone},
              {"callers", this->settings.callers.text()},
-             {"run", std::to_string(this->nodes.self().run)},
+             {"run", std::to_string(this->fleet.nodes.self().run)},
+             {"millicores", std::to_string(this->settings.millicores)},
              {"first_start", this->settings.is_first_start ? "1" : "0"}});
-        this->source.follow_store();
-        this->lease.start();
-        this->tell_others();
+        this->fleet.start();
         this->upkeep();
         return {};
     }
@@ -173,15 +145,12 @@
     open(const core::relay::socket_address& address,
          http::server_handlers handlers);
     void on_source_reach(bool is_reachable, const std::string& reason);
-    void on_store_reach(bool is_reachable, const std::string& reason);
     void on_item(const ports::store_item& item);
     void on_limits(const core::relay::caller_limits& from);
-    void on_heard(const node_record& record);
     void share_bounds();
-    void update_self();
-    void tell_others();
-    void send_beacons();
     void upkeep();
+    void keep_connections();
+    void check_suspect(const core::relay::replica_ptr& target);
     void serve_caller(http::request message, const http::responder& respond);
     void serve_directory(const http::request& message,
                          const http::responder& respond);
@@ -199,14 +168,11 @@
     replica_pool pool;
     core::relay::request_engine engine;
     platform::store_client store;
-    core::relay::node_directory nodes;
-    beacon peers;
-    store_view view;
     core::relay::store_mirror mirror;
     peer_feed feed;
     core::relay::store_follower follower;
-    core::relay::node_lease lease;
-    source_switch source;
+    membership fleet;
+    store_view view;
     bool is_feed_due = false;
     std::unique_ptr<http::server> callers;
     std::unique_ptr<http::server> readiness;
@@ -283,7 +249,7 @@
     {
         this->feed.handle(message, respond);
     };
-    auto opened_peers = this->peers.open(this->settings.peers.text());
+    auto opened_peers = this->fleet.open();
     if (!opened_peers)
     {
         return opened_peers;
@@ -326,23 +292,11 @@
             });
 }
 
-void node::on_store_reach(bool is_reachable, const std::string& reason)
-{
-    if (is_reachable)
-    {
-        this->log.write(log_event::store_regained, {});
-        return;
-    }
-    this->follower.note_trouble();
-    this->engine.counters.add(relay_counter::store_failures);
-    this->log.write(log_event::store_lost, {{"reason", reason}});
-}
-
 void node::on_source_reach(bool is_reachable, const std::string& reason)
 {
     this->log.write(is_reachable ? log_event::source_regained
                                  : log_event::source_lost,
-                    {{"source", this->source.name()},
+                    {{"source", this->fleet.source_name()},
                      {"revision", std::to_string(this->mirror.revision())},
                      {"reason", reason}});
 }
@@ -374,84 +328,52 @@
     this->callers->set_limits(limits);
 }
 
-void node::on_heard(const node_record& record)
-{
-    if (this->nodes.on_heard(record, this->runtime.now()))
-    {
-        this->log.write(log_event::node_heard, {{"peer", record.name}});
-    }
-}
-
 void node::share_bounds()
 {
-    const auto count = this->nodes.count(this->runtime.now());
-    this->engine.set_node_count(count);
-    this->pool.set_bounds(this->engine.configuration_in_force(), count);
-}
-
-void node::update_self()
-{
-    const auto now = this->runtime.now();
-    auto& self = this->nodes.self_to_change();
-    self.is_stopping = this->is_stopping;
-    self.is_ready = this->is_ready();
-    self.reads_store = this->source.reads_store();
-    // A renewed lease shows that the path to the store is whole.
-    const auto known_at =
-        std::max(this->follower.answered_at(), this->lease.answered_at());
-    self.store_age = now - known_at;
-}
-
-void node::tell_others()
-{
-    this->update_self();
-    this->source.update(this->nodes, this->lease.is_reachable());
-    this->send_beacons();
-    this->runtime.call_after(beacon_interval,
-                             [this]
-                             {
-                                 this->tell_others();
-                             });
+    auto& nodes = this->fleet.nodes;
+    const auto count = nodes.entry_count(this->runtime.now());
+    const bool is_entry = nodes.self().is_entry;
+    this->engine.set_division(count, is_entry);
+    this->pool.set_bounds(
+        this->engine.configuration_in_force(), count, is_entry);
 }
 
-void node::send_beacons()
+void node::upkeep()
 {
-    std::set<std::string> addresses;
-    for (const auto& other : this->nodes.others())
+    for (const auto& id : this->engine.registry.expire(this->runtime.now()))
     {
-        addresses.insert(other.peers);
+        this->log.write(log_event::replica_removed,
+                        {{"replica", id}, {"reason", "lapsed"}});
     }
-    // A node that the store refuses finds others by its seeds.
-    const bool needs_seeds = addresses.empty() || !this->mirror.is_complete();
-    if (needs_seeds)
+    this->fleet.report_silent();
+    this->pool.drop_removed();
+    this->share_bounds();
+    if (this->fleet.nodes.self().is_entry)
     {
-        addresses.insert(this->settings.seeds.begin(),
-                         this->settings.seeds.end());
+        this->keep_connections();
     }
-    for (const auto& address : addresses)
+    else
     {
-        this->peers.send(address, this->nodes.self());
+        this->pool.close_idle();
+    }
+    this->log.flush();
+    if (!this->is_upkeep_pending)
+    {
+        this->is_upkeep_pending = true;
+        this->runtime.call_after(upkeep_interval,
+                                 [this]
+                                 {
+                                     this->is_upkeep_pending = false;
+                                     this->upkeep();
+                                 });
     }
 }
 
-void node::upkeep()
+void node::keep_connections()
 {
-    const auto now = this->runtime.now();
-    for (const auto& id : this->engine.registry.expire(now))
-    {
-        this->log.write(log_event::replica_removed,
-                        {{"replica", id}, {"reason", "lapsed"}});
-    }
-    for (const auto& name : this->nodes.take_silent(now))
-    {
-        this->log.write(log_event::node_silent, {{"peer", name}});
-    }
-    this->pool.drop_removed();
-    this->share_bounds();
     const auto& config = this->engine.configuration_in_force();
     for (const auto& listed : this->engine.registry.all())
     {
-        const auto& id = listed.first;
         const auto& target = listed.second;
         const bool is_in_use =
             config != nullptr &&
@@ -461,41 +383,36 @@
         {
             continue;
         }
-        if (!target->health.is_suspect())
+        if (target->health.is_suspect())
         {
-            this->suspects.erase(id);
-            this->pool.keep_warm(target);
-            continue;
+            this->check_suspect(target);
         }
-        if (this->suspects.insert(id).second)
+        else
         {
-            this->log.write(
-                log_event::replica_suspect,
-                {{"replica", id}, {"service", target->record.service}});
+            this->suspects.erase(listed.first);
+            this->pool.keep_warm(target);
         }
-        this->pool.probe(target,
-                         [this, target](bool is_healthy)
-                         {
-                             if (is_healthy)
-                             {
-                                 target->health.on_probe_ok();
-                                 this->log.write(
-                                     log_event::replica_recovered,
-                                     {{"replica", target->record.id}});
-                             }
-                         });
     }
-    this->log.flush();
-    if (!this->is_upkeep_pending)
+}
+
+void node::check_suspect(const core::relay::replica_ptr& target)
+{
+    const auto& id = target->record.id;
+    if (this->suspects.insert(id).second)
     {
-        this->is_upkeep_pending = true;
-        this->runtime.call_after(upkeep_interval,
-                                 [this]
-                                 {
-                                     this->is_upkeep_pending = false;
-                                     this->upkeep();
-                                 });
+        this->log.write(log_event::replica_suspect,
+                        {{"replica", id}, {"service", target->record.service}});
     }
+    this->pool.probe(target,
+                     [this, target](bool is_healthy)
+                     {
+                         if (is_healthy)
+                         {
+                             target->health.on_probe_ok();
+                             this->log.write(log_event::replica_recovered,
+                                             {{"replica", target->record.id}});
+                         }
+                     });
 }
 
 void node::serve_caller(http::request message, const http::responder& respond)
@@ -539,7 +456,7 @@
     this->engine.counters.add(relay_counter::directory_answers);
     std::vector<std::string> addresses;
     const auto usable = core::relay::choose_entries(
-        this->nodes.usable(this->runtime.now()), question->zone);
+        this->fleet.nodes.usable(this->runtime.now()), question->zone);
     addresses.reserve(usable.size());
     for (const auto& item : usable)
     {
@@ -579,9 +496,7 @@
     this->is_stopping = true;
     this->log.write(log_event::relay_stopping,
                     {{"active", std::to_string(this->engine.active())}});
-    this->update_self();
-    this->lease.stop();
-    this->send_beacons();
+    this->fleet.stop();
     this->callers->drain();
     const auto now = this->runtime.now();
     const auto part = [this](double share)
--- a/src/adapters/relay/replica_link.cpp
+++ b/src/adapters/relay/replica_link.cpp
@@ -87,6 +87,7 @@
     this->timer.cancel();
     asio::disable_nagle(this->socket);
     this->phase = state::idle;
+    this->last_use = std::chrono::steady_clock::now();
     this->read();
     if (this->current)
     {
@@ -274,6 +275,7 @@
 {
     this->phase = state::idle;
     this->is_sent = false;
+    this->last_use = std::chrono::steady_clock::now();
     if (this->keep_for.count() > 0)
     {
         this->timer.expires_after(std::max(this->keep_for - keep_alive_margin,
--- a/src/adapters/relay/replica_link.hpp
+++ b/src/adapters/relay/replica_link.hpp
@@ -56,6 +56,12 @@
     /// @brief True while there is no request on the link.
     [[nodiscard]] bool is_free() const;
 
+    /// @brief When a request was last sent or answered.
+    [[nodiscard]] std::chrono::steady_clock::time_point used_at() const
+    {
+        return this->last_use;
+    }
+
     /// @brief The id of the request that was sent last.
     [[nodiscard]] const std::string& last_request() const
     {
@@ -93,6 +99,7 @@
     std::optional<parser_type> parser;
     std::optional<job> current;
     std::string last_request_id;
+    std::chrono::steady_clock::time_point last_use{};
     boost::beast::http::request<boost::beast::http::string_body> outgoing;
     std::chrono::milliseconds keep_for{0};
     state phase = state::connecting;
--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -19,6 +19,12 @@
 namespace
 {
 
+/// Connections to a replica that the entries leave to the standbys.
+constexpr unsigned unshared_connections = 2;
+
+/// A standby closes connections that were not used for this time.
+constexpr std::chrono::seconds standby_idle_time{2};
+
 /// Connections to a replica of a service without a stated bound.
 constexpr std::size_t default_connections = 8;
 
@@ -64,18 +70,23 @@
         if (service != this->config->services.end() &&
             service->second.max_connections > 0)
         {
-            return std::max(1U,
-                            service->second.max_connections / this->node_count);
+            const auto shared =
+                service->second.max_connections -
+                std::min(service->second.max_connections, unshared_connections);
+            const auto part = shared / this->entry_count;
+            return std::max(1U, this->is_entry ? part : part / 2);
         }
     }
     return default_connections;
 }
 
 void replica_pool::set_bounds(core::relay::configuration_ptr config,
-                              unsigned node_count)
+                              unsigned entry_count,
+                              bool is_entry)
 {
     this->config = std::move(config);
-    this->node_count = std::max(1U, node_count);
+    this->entry_count = std::max(1U, entry_count);
+    this->is_entry = is_entry;
 }
 
 std::shared_ptr<replica_link> replica_pool::open(entry& place)
@@ -256,6 +267,26 @@
                   });
 }
 
+void replica_pool::close_idle()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::shared_ptr<replica_link>> closing;
+    for (const auto& [target, place] : this->entries)
+    {
+        for (const auto& link : place.links)
+        {
+            if (link->is_idle() && now - link->used_at() > standby_idle_time)
+            {
+                closing.push_back(link);
+            }
+        }
+    }
+    for (const auto& link : closing)
+    {
+        link->close();
+    }
+}
+
 void replica_pool::on_closed(key target, const replica_link* link)
 {
     const auto found = this->entries.find(target);
--- a/src/adapters/relay/replica_pool.hpp
+++ b/src/adapters/relay/replica_pool.hpp
@@ -37,8 +37,11 @@
 
     /// @brief Sets the bounds on connections.
     /// @param config the configuration in force
-    /// @param node_count nodes that divide the connections of a replica
-    void set_bounds(core::relay::configuration_ptr config, unsigned node_count);
+    /// @param entry_count entries that divide the connections of a replica
+    /// @param is_entry false for a standby, which opens one when it must
+    void set_bounds(core::relay::configuration_ptr config,
+                    unsigned entry_count,
+                    bool is_entry);
 
     /// @brief Keeps a connection open to each replica that may get work.
     /// @param to the replica
@@ -54,6 +57,10 @@
     ///        more.
     void drop_removed();
 
+    /// @brief Closes connections that have been idle for a while, for a node
+    ///        that serves few requests.
+    void close_idle();
+
   private:
     friend class replica_link;
 
@@ -74,7 +81,8 @@
     boost::asio::io_context& io;
     core::relay::relay_counters& counters;
     core::relay::configuration_ptr config;
-    unsigned node_count = 1;
+    unsigned entry_count = 1;
+    bool is_entry = true;
     std::map<key, entry> entries;
     std::map<std::uint64_t, std::weak_ptr<replica_link>> sends;
     std::uint64_t next_send = 1;
--- a/src/adapters/relay/source_switch.cpp
+++ b/src/adapters/relay/source_switch.cpp
@@ -31,10 +31,28 @@
 
 void source_switch::follow_store()
 {
+    this->is_chosen = true;
     this->followed.clear();
+    this->followed_address.clear();
     this->follower.follow(this->store);
 }
 
+std::optional<core::base::duration>
+source_switch::age(const core::relay::node_directory& nodes,
+                   core::base::time_point now) const
+{
+    if (this->followed.empty())
+    {
+        return std::nullopt;
+    }
+    auto age = nodes.store_age_of(this->followed, now);
+    if (!this->follower.is_reachable())
+    {
+        age = std::max(age, now - this->follower.answered_at());
+    }
+    return age;
+}
+
 void source_switch::update(const core::relay::node_directory& nodes,
                            bool store_answers)
 {
@@ -44,10 +62,13 @@
     const auto name = core::relay::choose_source(
                           nodes.self(), may_read, heard, this->followed)
                           .value_or("");
-    if (name == this->followed)
+    const bool is_same = this->is_chosen && name == this->followed;
+    const bool is_nothing = name.empty() && !may_read;
+    if (is_same || (is_nothing && !this->is_chosen))
     {
         return;
     }
+    this->is_chosen = true;
     this->followed = name;
     this->log.write(log_event::source_chosen,
                     {{"source", this->name()},
@@ -74,6 +95,7 @@
                                     {
                                         return record.name == name;
                                     });
+    this->followed_address = found->peers;
     this->reader = std::make_unique<peer_reader>(this->io, found->peers);
     this->follower.follow(*this->reader);
 }
--- a/src/adapters/relay/store_view.cpp
+++ b/src/adapters/relay/store_view.cpp
@@ -35,6 +35,11 @@
         record.zone = from.at("zone").as_string();
         record.callers = from.at("callers").as_string();
         record.peers = from.at("peers").as_string();
+        if (const auto* millicores = from.if_contains("millicores"))
+        {
+            record.millicores = millicores->to_number<unsigned>();
+        }
+        record.is_entry = true;
         return record;
     }
     catch (const std::exception& fault)
@@ -61,7 +66,8 @@
     return json::serialize(json::object{{"run", self.run},
                                         {"zone", self.zone},
                                         {"callers", self.callers},
-                                        {"peers", self.peers}});
+                                        {"peers", self.peers},
+                                        {"millicores", self.millicores}});
 }
 
 store_view::store_view(ports::runtime& runtime,
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -81,6 +81,8 @@
     node_unlisted = 1042,
     node_heard = 1043,
     node_silent = 1044,
+    entry_joined = 1045,
+    entry_left = 1046,
     request_answered = 1051,
     send_failed = 1052,
     caller_gone = 1053,
--- a/src/core/relay/extra_budget.cpp
+++ b/src/core/relay/extra_budget.cpp
@@ -7,16 +7,39 @@
 
 using base::time_point;
 
+namespace
+{
+
+/// When the whole system starts for the first time, nodes join within this
+/// time; no slack can have been used before.
+constexpr std::chrono::seconds first_join_time{5};
+
+} // namespace
+
 extra_budget::extra_budget(extra_budget_settings settings,
                            time_point started,
                            bool knows_history)
-    : settings(settings), started(started), knows_history(knows_history)
+    : settings(settings), started(started), knows_history(knows_history),
+      slack_from(knows_history ? started : started + settings.window)
 {
 }
 
-void extra_budget::set_node_count(unsigned count)
+void extra_budget::set_division(unsigned count, bool takes, time_point now)
 {
     this->node_count = std::max(1U, count);
+    const bool joins = takes && this->takes_part != std::optional(true);
+    const bool is_first = this->knows_history &&
+                          now - this->started <= first_join_time &&
+                          this->slack_from == this->started;
+    if (joins && !is_first)
+    {
+        this->slack_from = now + this->settings.window;
+    }
+    if (!takes && this->takes_part == std::optional(true))
+    {
+        this->knows_history = false;
+    }
+    this->takes_part = takes;
 }
 
 void extra_budget::on_request(const std::string& service, time_point now)
@@ -77,16 +100,10 @@
 
 double extra_budget::slack_now(time_point now) const
 {
-    const double own =
-        this->settings.slack / static_cast<double>(this->node_count);
-    if (this->knows_history)
-    {
-        return own;
-    }
-    // The process before this one may have used the slack of this window.
-    const auto age = std::chrono::duration<double>(now - this->started);
-    const auto window = std::chrono::duration<double>(this->settings.window);
-    return age >= window ? own : 0;
+    const bool has_part = this->takes_part.value_or(true);
+    return has_part && now >= this->slack_from
+               ? this->settings.slack / static_cast<double>(this->node_count)
+               : 0;
 }
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/extra_budget.hpp
+++ b/src/core/relay/extra_budget.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <core/base/time.hpp>
@@ -27,7 +28,8 @@
 ///
 /// The bound of a window is ratio x requests + slack over all nodes. Each node
 /// keeps to ratio x its own requests + its part of the slack, so that the sum
-/// over all nodes holds without any message between them. A send counts from
+/// over all nodes holds without any message between them. Only entries have a
+/// part of the slack. A send counts from
 /// its decision until a window after the moment when it can no longer arrive.
 class extra_budget
 {
@@ -41,9 +43,13 @@
                  base::time_point started,
                  bool knows_history);
 
-    /// @brief Sets how many nodes divide the slack.
-    /// @param count live nodes, this one included; at least 1
-    void set_node_count(unsigned count);
+    /// @brief Sets who divides the slack. A node that begins to take part gets
+    ///        its part only after a window: the one that it replaces may have
+    ///        used it.
+    /// @param count nodes that divide it; at least 1
+    /// @param takes_part whether this node is one of them
+    /// @param now the current time
+    void set_division(unsigned count, bool takes_part, base::time_point now);
 
     /// @brief Counts a caller's request for a service.
     void on_request(const std::string& service, base::time_point now);
@@ -82,6 +88,8 @@
     base::time_point started;
     bool knows_history;
     unsigned node_count = 1;
+    std::optional<bool> takes_part; ///< unset: it does, from the start
+    base::time_point slack_from;    ///< the slack is this node's from then on
     std::map<std::string, account, std::less<>> accounts;
 };
 
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -1,6 +1,7 @@
 #include <core/relay/node_directory.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hawthornrelay::core::relay
@@ -11,10 +12,13 @@
 namespace
 {
 
-/// Silence after which a node is not named to callers; three to four lost
-/// messages at the interval of relay_node.
+/// Silence after which an entry is not named to callers; three to four lost
+/// messages at the interval at which entries tell each other.
 constexpr std::chrono::milliseconds silence{750};
 
+/// The same for a standby, which asks less often.
+constexpr std::chrono::milliseconds silence_for_standby{2000};
+
 /// A node that has just been listed may not have been heard yet.
 constexpr std::chrono::milliseconds first_word{1000};
 
@@ -31,6 +35,7 @@
 {
     if (record.name == this->own.name)
     {
+        this->earlier_run = this->earlier_run || record.run < this->own.run;
         return;
     }
     auto& item = this->entries[record.name];
@@ -46,7 +51,17 @@
     }
     item.is_listed = true;
     item.listed_at = now;
-    item.ended_at = now;
+    // A node keeps its key only while it is an entry.
+    item.record.is_entry = true;
+    this->note_entry(item, now);
+}
+
+void node_directory::note_entry(entry& item, time_point now)
+{
+    if (item.record.is_entry)
+    {
+        item.ended_at = now;
+    }
 }
 
 void node_directory::on_unlisted(const std::string& name, time_point now)
@@ -57,7 +72,7 @@
         return;
     }
     found->second.is_listed = false;
-    found->second.ended_at = now;
+    this->note_entry(found->second, now);
 }
 
 bool node_directory::on_heard(const node_record& record, time_point now)
@@ -74,11 +89,12 @@
     const bool was_silent = !this->is_heard(item, now);
     const bool has_stopped =
         record.run == item.record.run && item.record.is_stopping;
+    this->note_entry(item, now);
     item.record = record;
     item.record.is_stopping = record.is_stopping || has_stopped;
     item.was_heard = true;
     item.heard_at = now;
-    item.ended_at = now;
+    this->note_entry(item, now);
     return was_silent;
 }
 
@@ -88,7 +104,8 @@
     for (auto& [name, item] : this->entries)
     {
         const bool was_silent = item.is_silent;
-        item.is_silent = item.was_heard && !this->is_heard(item, now);
+        item.is_silent = item.record.is_entry && item.was_heard &&
+                         this->is_in_touch(item) && !this->is_heard(item, now);
         if (item.is_silent && !was_silent)
         {
             result.push_back(name);
@@ -110,51 +127,105 @@
     return result;
 }
 
+base::duration node_directory::store_age_of(const std::string& name,
+                                            time_point now) const
+{
+    const auto found = this->entries.find(name);
+    if (found == this->entries.end() || !found->second.was_heard)
+    {
+        return base::duration::max();
+    }
+    const auto& item = found->second;
+    return item.record.store_age + (now - item.heard_at);
+}
+
 bool node_directory::is_heard(const entry& item, time_point now) const
 {
-    return item.was_heard && now - item.heard_at < silence;
+    const auto limit = this->own.is_entry ? silence : silence_for_standby;
+    return item.was_heard && now - item.heard_at < limit;
 }
 
-std::vector<node_record> node_directory::usable(time_point now) const
+bool node_directory::is_in_touch(const entry& item) const
 {
-    std::vector<node_record> heard;
-    std::vector<node_record> listed;
-    if (!this->own.is_stopping && this->own.is_ready)
+    return this->own.is_entry || item.record.zone == this->own.zone;
+}
+
+bool node_directory::may_serve(const entry& item, time_point now) const
+{
+    if (item.record.is_stopping)
     {
-        heard.push_back(this->own);
-        listed.push_back(this->own);
+        return false;
     }
+    if (this->is_heard(item, now))
+    {
+        return item.record.is_ready;
+    }
+    const bool is_starting =
+        item.is_listed && !item.was_heard && now - item.listed_at < first_word;
+    return is_starting || (item.is_listed && !this->is_in_touch(item));
+}
+
+std::vector<node_record> node_directory::running_entries(time_point now) const
+{
+    std::vector<node_record> result;
     for (const auto& [name, item] : this->entries)
     {
-        if (item.record.is_stopping)
+        if (item.record.is_entry && this->may_serve(item, now))
         {
-            continue;
-        }
-        const bool is_starting = item.is_listed && !item.was_heard &&
-                                 now - item.listed_at < first_word;
-        const bool may_serve =
-            this->is_heard(item, now) ? item.record.is_ready : is_starting;
-        if (may_serve)
-        {
-            heard.push_back(item.record);
+            result.push_back(item.record);
         }
-        if (item.is_listed)
+    }
+    return result;
+}
+
+std::vector<node_record> node_directory::usable(time_point now) const
+{
+    const bool serves = !this->own.is_stopping && this->own.is_ready;
+    auto result = this->running_entries(now);
+    std::vector<node_record> listed;
+    for (const auto& [name, item] : this->entries)
+    {
+        if (item.is_listed && !item.record.is_stopping)
         {
             listed.push_back(item.record);
         }
     }
+    if (serves && this->own.is_entry)
+    {
+        result.push_back(this->own);
+        listed.push_back(this->own);
+    }
     // A node that hears nobody is cut off itself; the list is better then.
-    const bool is_cut_off = heard.size() <= 1 && listed.size() > 2;
-    return is_cut_off ? listed : heard;
+    const bool is_cut_off = result.size() <= 1 && listed.size() > 2;
+    if (is_cut_off)
+    {
+        return listed;
+    }
+    if (result.empty())
+    {
+        for (const auto& node : this->heard(now))
+        {
+            if (node.is_ready && !node.is_stopping)
+            {
+                result.push_back(node);
+            }
+        }
+        if (serves)
+        {
+            result.push_back(this->own);
+        }
+    }
+    return result;
 }
 
-std::vector<node_record> node_directory::others() const
+std::vector<node_record> node_directory::to_tell() const
 {
     std::vector<node_record> result;
     for (const auto& [name, item] : this->entries)
     {
         const bool is_known = item.is_listed || item.was_heard;
-        if (is_known && !item.record.peers.empty())
+        if (is_known && item.record.is_entry && this->is_in_touch(item) &&
+            !item.record.peers.empty())
         {
             result.push_back(item.record);
         }
@@ -162,16 +233,19 @@
     return result;
 }
 
-unsigned node_directory::count(time_point now)
+unsigned node_directory::entry_count(time_point now)
 {
-    std::erase_if(this->entries,
-                  [&](const auto& named)
-                  {
-                      const auto& item = named.second;
-                      return !item.is_listed &&
-                             now - item.ended_at > shared_bound_memory;
-                  });
-    return static_cast<unsigned>(this->entries.size()) + 1;
+    unsigned count = this->own.is_entry ? 1 : 0;
+    for (auto it = this->entries.begin(); it != this->entries.end();)
+    {
+        auto& item = it->second;
+        const bool is_current =
+            item.is_listed || now - item.ended_at <= shared_bound_memory;
+        count += is_current ? 1 : 0;
+        const bool is_forgotten = !is_current && !this->is_heard(item, now);
+        it = is_forgotten ? this->entries.erase(it) : std::next(it);
+    }
+    return std::max(1U, count);
 }
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -2,41 +2,30 @@
 /// @brief Which relay nodes run, and which of them callers should use.
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 #include <core/base/time.hpp>
+#include <core/relay/node_record.hpp>
 
 namespace hawthornrelay::core::relay
 {
 
-/// @brief What a node tells others about itself.
-struct node_record
-{
-    std::string name;
-    std::uint64_t run = 0; ///< a later run of the node has a greater number
-    std::string zone;
-    std::string callers; ///< `ip:port` for callers
-    std::string peers;   ///< `ip:port` for other nodes, over UDP and TCP
-    bool is_stopping = false;
-    bool is_ready = false;      ///< it has a configuration
-    bool reads_store = false;   ///< it follows the store itself
-    base::duration store_age{}; ///< since it knew the store's state
-};
-
-/// @brief Merges the store's list of nodes with what nodes tell each other.
+/// @brief Merges the store's list of entries with what nodes tell each other.
+///
+/// Entries hear each other. A standby hears the entries of its own zone, whom
+/// it asks, and knows those of other zones from the list alone.
 class node_directory
 {
   public:
     /// @brief Sets this node's own record.
     explicit node_directory(node_record self);
 
-    /// @brief Takes a node's entry in the store.
+    /// @brief Takes a node's key in the store, which entries keep.
     void on_listed(const node_record& record, base::time_point now);
 
-    /// @brief Takes the removal of a node's entry. A node that is still heard
+    /// @brief Takes the removal of a node's key. A node that is still heard
     ///        stays usable: its lease may have lapsed in an outage.
     /// @param name the node
     void on_unlisted(const std::string& name, base::time_point now);
@@ -57,21 +46,39 @@
         return this->own;
     }
 
-    /// @brief Nodes that have fallen silent since the last call.
+    /// @brief True once the store listed an earlier run of this node.
+    [[nodiscard]] bool has_earlier_run() const
+    {
+        return this->earlier_run;
+    }
+
+    /// @brief Entries that have fallen silent since the last call.
     std::vector<std::string> take_silent(base::time_point now);
 
+    /// @brief How long ago a node knew the store's state, as it said itself;
+    ///        the longest time for a node that was never heard.
+    [[nodiscard]] base::duration store_age_of(const std::string& name,
+                                              base::time_point now) const;
+
     /// @brief Nodes that are heard, this one not included.
     [[nodiscard]] std::vector<node_record> heard(base::time_point now) const;
 
-    /// @brief Nodes that callers may use, this one included if it may be.
+    /// @brief Entries that callers may use, this node included if it is one.
+    ///        Without any entry: all nodes that are heard.
     [[nodiscard]] std::vector<node_record> usable(base::time_point now) const;
 
-    /// @brief Other nodes, for sending to them.
-    [[nodiscard]] std::vector<node_record> others() const;
+    /// @brief Other entries that run as far as this node can tell.
+    [[nodiscard]] std::vector<node_record>
+    running_entries(base::time_point now) const;
+
+    /// @brief Nodes to tell about this one: for an entry all other entries,
+    ///        for a standby the entries of its own zone.
+    [[nodiscard]] std::vector<node_record> to_tell() const;
 
-    /// @brief The most nodes known at once in the last while; bounds that all
-    ///        nodes share are divided by it.
-    unsigned count(base::time_point now);
+    /// @brief The most entries known at once in the last while; bounds that
+    ///        all nodes share are divided by it.
+    /// @return at least 1
+    unsigned entry_count(base::time_point now);
 
   private:
     struct entry
@@ -82,12 +89,16 @@
         base::time_point heard_at{};
         bool was_heard = false;
         bool is_silent = false;
-        base::time_point ended_at{}; ///< when it was last known to run
+        base::time_point ended_at{}; ///< when it was last known as an entry
     };
 
     [[nodiscard]] bool is_heard(const entry& item, base::time_point now) const;
+    [[nodiscard]] bool is_in_touch(const entry& item) const;
+    [[nodiscard]] bool may_serve(const entry& item, base::time_point now) const;
+    void note_entry(entry& item, base::time_point now);
 
     node_record own;
+    bool earlier_run = false;
     std::map<std::string, entry> entries;
 };
 
--- a/src/core/relay/node_lease.cpp
+++ b/src/core/relay/node_lease.cpp
@@ -37,15 +37,21 @@
 
 void node_lease::start()
 {
-    this->take();
+    if (!this->is_running)
+    {
+        this->is_running = true;
+        ++this->generation;
+        this->take();
+    }
 }
 
 void node_lease::stop()
 {
-    this->is_stopped = true;
-    if (this->lease != 0)
+    this->is_running = false;
+    ++this->generation;
+    if (const auto ended = std::exchange(this->lease, 0); ended != 0)
     {
-        this->store.end_lease(this->lease,
+        this->store.end_lease(ended,
                               [](const base::result<bool>&)
                               {
                                   // It lapses by itself otherwise.
@@ -57,8 +63,14 @@
 {
     this->store.create_lease(
         this->lease_time,
-        [this](const base::result<ports::lease_id>& created)
+        [this,
+         mine = this->generation](const base::result<ports::lease_id>& created)
         {
+            if (mine != this->generation)
+            {
+                // Unused, it lapses by itself.
+                return;
+            }
             if (!created)
             {
                 this->on_failure(created.error(), &node_lease::take);
@@ -74,8 +86,13 @@
     this->store.put(this->key,
                     this->value,
                     this->lease,
-                    [this](const base::result<std::uint64_t>& written)
+                    [this, mine = this->generation](
+                        const base::result<std::uint64_t>& written)
                     {
+                        if (mine != this->generation)
+                        {
+                            return;
+                        }
                         if (written)
                         {
                             this->on_success(&node_lease::renew,
@@ -95,8 +112,12 @@
 {
     this->store.renew_lease(
         this->lease,
-        [this](const base::result<bool>& renewed)
+        [this, mine = this->generation](const base::result<bool>& renewed)
         {
+            if (mine != this->generation)
+            {
+                return;
+            }
             if (renewed)
             {
                 this->on_success(&node_lease::renew, renew_interval);
@@ -138,14 +159,10 @@
 
 void node_lease::call_later(duration delay, void (node_lease::*call)())
 {
-    if (this->is_stopped)
-    {
-        return;
-    }
     this->runtime.call_after(delay,
-                             [this, call]
+                             [this, call, mine = this->generation]
                              {
-                                 if (!this->is_stopped)
+                                 if (mine == this->generation)
                                  {
                                      (this->*call)();
                                  }
--- a/src/core/relay/node_lease.hpp
+++ b/src/core/relay/node_lease.hpp
@@ -37,7 +37,7 @@
     /// @brief Takes the lease and keeps it.
     void start();
 
-    /// @brief Ends the lease, which removes the entry.
+    /// @brief Ends the lease, which removes the entry. It may be started again.
     void stop();
 
     /// @brief False while calls of the store fail.
@@ -69,7 +69,8 @@
     ports::lease_id lease = 0;
     base::time_point last_answer{};
     bool reachable = true;
-    bool is_stopped = false;
+    bool is_running = false;
+    std::uint64_t generation = 0; ///< calls of an earlier start are ignored
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -28,11 +28,13 @@
 {
     std::string node_name;
     std::string zone;
-    socket_address callers;   ///< where requests arrive
-    socket_address readiness; ///< where the platform asks for readiness
-    socket_address directory; ///< where callers ask which addresses to use
-    socket_address peers;     ///< between nodes, over UDP and TCP
+    unsigned millicores = 1000; ///< thousandths of a core that the VM gives
+    socket_address callers;     ///< where requests arrive
+    socket_address readiness;   ///< where the platform asks for readiness
+    socket_address directory;   ///< where callers ask which addresses to use
+    socket_address peers;       ///< between nodes, over UDP and TCP
     std::vector<std::string> seeds; ///< `ip:port` of some nodes; may be stale
+    bool is_seed = false; ///< other nodes know this node's address at start
     socket_address metrics;
     socket_address store;
     bool is_first_start = false; ///< the whole system starts for the first time
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -25,10 +25,13 @@
 /// Cost of a replica that is taken to be down; used when there is no other.
 constexpr double cost_of_suspect = 100.0;
 
-/// Part of the bound on cold replicas that the nodes use together, since sends
-/// of one second may arrive within less.
+/// Part of the bound on cold replicas that the entries use together, since
+/// sends of one second may arrive within less.
 constexpr double cold_safety = 0.6;
 
+/// A standby, which serves few requests, uses this part of an entry's part.
+constexpr unsigned standby_cold_divisor = 16;
+
 } // namespace
 
 request_engine::request_engine(engine_settings settings,
@@ -69,10 +72,11 @@
                   });
 }
 
-void request_engine::set_node_count(unsigned count)
+void request_engine::set_division(unsigned entry_count, bool is_entry)
 {
-    this->node_count = std::max(1U, count);
-    this->extras.set_node_count(this->node_count);
+    this->entry_count = std::max(1U, entry_count);
+    this->is_entry = is_entry;
+    this->extras.set_division(this->entry_count, is_entry, this->runtime.now());
 }
 
 std::uint64_t request_engine::start(caller_request request, answer_handler done)
@@ -164,7 +168,9 @@
                                       this->settings.cold_overshoot +
                                   this->settings.cold_slack;
     const double own =
-        over_all_nodes * cold_safety / static_cast<double>(this->node_count);
+        over_all_nodes * cold_safety /
+        static_cast<double>(this->entry_count *
+                            (this->is_entry ? 1U : standby_cold_divisor));
     // Below one send a second, sends are spaced further apart.
     const auto span = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(std::max(1.0, 1.0 / own)));
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -81,8 +81,10 @@
         return this->config;
     }
 
-    /// @brief Sets how many live nodes divide the bounds.
-    void set_node_count(unsigned count);
+    /// @brief Sets who divides the bounds that all nodes share.
+    /// @param entry_count entries of the fleet
+    /// @param is_entry whether this node is one of them
+    void set_division(unsigned entry_count, bool is_entry);
 
     /// @brief Starts a request.
     /// @param request the request
@@ -121,7 +123,8 @@
     ports::event_log& log;
     configuration_ptr config;
     extra_budget extras;
-    unsigned node_count = 1;
+    unsigned entry_count = 1;
+    bool is_entry = true;
     /// Of the parts of each route's requests.
     std::map<std::string, dispatch::latency_window> latencies;
     /// The time that callers of each route had left.
--- a/src/core/relay/source_choice.cpp
+++ b/src/core/relay/source_choice.cpp
@@ -51,43 +51,56 @@
                                          const std::vector<node_record>& heard,
                                          const std::string& following)
 {
-    std::vector<node_record> able;
-    std::vector<node_record> sources;
-    for (const auto& node : heard)
+    const auto take = [&heard](auto&& is_taken)
+    {
+        std::vector<node_record> taken;
+        std::copy_if(
+            heard.begin(), heard.end(), std::back_inserter(taken), is_taken);
+        return taken;
+    };
+    const auto can_serve = [](const node_record& node)
     {
-        const bool is_current = node.is_ready && !node.is_stopping &&
-                                node.store_age < oldest_reader;
-        if (is_current)
+        return node.is_ready && !node.is_stopping;
+    };
+    const auto is_current = [&](const node_record& node)
+    {
+        return can_serve(node) && node.store_age < oldest_reader;
+    };
+    auto entries = take(
+        [&](const node_record& node)
         {
-            able.push_back(node);
-        }
-        if (is_current && node.reads_store)
+            return is_current(node) && node.is_entry;
+        });
+    std::vector<node_record> sources;
+    if (self.is_entry)
+    {
+        // Entries follow readers only, so that no two follow each other.
+        sources = take(
+            [&](const node_record& node)
+            {
+                return is_current(node) && node.reads_store;
+            });
+        if (may_read_store)
         {
-            sources.push_back(node);
+            entries.push_back(self);
+            const auto readers = expected_readers(entries);
+            const bool is_reader =
+                std::find(readers.begin(), readers.end(), self.name) !=
+                readers.end();
+            if (is_reader)
+            {
+                return std::nullopt;
+            }
         }
     }
-    if (may_read_store)
+    else
     {
-        able.push_back(self);
-        const auto readers = expected_readers(able);
-        const bool is_reader =
-            std::find(readers.begin(), readers.end(), self.name) !=
-            readers.end();
-        if (is_reader || sources.empty())
-        {
-            return std::nullopt;
-        }
+        sources = entries.empty() ? take(is_current) : entries;
     }
-    if (sources.empty())
+    if (sources.empty() && !may_read_store)
     {
         // Old knowledge is better than none.
-        std::copy_if(heard.begin(),
-                     heard.end(),
-                     std::back_inserter(sources),
-                     [](const node_record& node)
-                     {
-                         return node.is_ready && !node.is_stopping;
-                     });
+        sources = take(can_serve);
     }
     if (sources.empty())
     {
@@ -95,9 +108,10 @@
     }
     const auto rank = [&](const node_record& node)
     {
-        // Staying with a source saves a connection and a listing.
-        return (node.name == following ? 0 : 2) +
-               (node.zone == self.zone ? 0 : 1);
+        // Staying with a source saves a connection; one of the own zone saves
+        // bytes between zones.
+        return (node.zone == self.zone ? 0 : 2) +
+               (node.name == following ? 0 : 1);
     };
     return std::min_element(
                sources.begin(),
--- a/tests/relay/test_relay_parts.cpp
+++ b/tests/relay/test_relay_parts.cpp
@@ -9,6 +9,7 @@
 
 #include <core/relay/configuration.hpp>
 #include <core/relay/entry_choice.hpp>
+#include <core/relay/entry_duty.hpp>
 #include <core/relay/extra_budget.hpp>
 #include <core/relay/node_directory.hpp>
 #include <core/relay/record_merge.hpp>
@@ -54,6 +55,7 @@
     record.callers = name + ":1";
     record.peers = name + ":2";
     record.is_ready = true;
+    record.is_entry = true;
     return record;
 }
 
@@ -97,7 +99,7 @@
             {
                 budgets.emplace_back(
                     extra_budget_settings{.slack = 56}, begin, true);
-                budgets.back().set_node_count(nodes);
+                budgets.back().set_division(nodes, true, begin);
             }
             std::vector<time_point> requests;
             std::vector<time_point> arrivals;
@@ -140,6 +142,23 @@
     BOOST_TEST(budget.try_take("s", begin + 10s));
 }
 
+BOOST_AUTO_TEST_CASE(a_node_has_slack_a_window_after_it_became_an_entry)
+{
+    extra_budget budget({.slack = 56}, begin, true);
+    budget.set_division(8, false, begin);
+    BOOST_TEST(!budget.try_take("s", begin + 1s));
+    budget.set_division(8, true, begin + 2s); // at the first start
+    BOOST_TEST(budget.try_take("s", begin + 2s));
+    budget.set_division(8, false, begin + 20s);
+    budget.set_division(8, true, begin + 21s);
+    BOOST_TEST(!budget.try_take("s", begin + 30s));
+    BOOST_TEST(budget.try_take("s", begin + 31s));
+    extra_budget late({.slack = 56}, begin, true);
+    late.set_division(8, false, begin);
+    late.set_division(8, true, begin + 100s);
+    BOOST_TEST(!late.try_take("s", begin + 109s));
+}
+
 BOOST_AUTO_TEST_CASE(a_send_that_may_still_arrive_counts)
 {
     extra_budget budget({.ratio = 0, .slack = 2, .safety = 1}, begin, true);
@@ -335,8 +354,27 @@
     node_directory nodes(node("a", "z"));
     nodes.on_listed(node("b", "z"), begin);
     nodes.on_unlisted("b", begin);
-    BOOST_TEST(nodes.count(begin + 11s) == 2U);
-    BOOST_TEST(nodes.count(begin + 13s) == 1U);
+    BOOST_TEST(nodes.entry_count(begin + 11s) == 2U);
+    BOOST_TEST(nodes.entry_count(begin + 13s) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_sent_to_entries_only)
+{
+    node_directory nodes(node("a", "z"));
+    nodes.self_to_change().is_entry = false;
+    auto standby = node("b", "z");
+    standby.is_entry = false;
+    nodes.on_heard(standby, begin);
+    BOOST_TEST(nodes.usable(begin).size() == 2U); // there is no entry yet
+    nodes.on_listed(node("c", "far"), begin);
+    BOOST_TEST(nodes.usable(begin + 5s).size() == 1U);
+    BOOST_TEST(nodes.entry_count(begin + 5s) == 1U);
+    // An entry of the own zone is asked; its silence tells.
+    nodes.on_listed(node("d", "z"), begin);
+    nodes.on_heard(node("d", "z"), begin);
+    BOOST_TEST(nodes.usable(begin + 1s).size() == 2U);
+    BOOST_TEST(nodes.usable(begin + 3s).size() == 1U);
+    BOOST_TEST(nodes.to_tell().size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(callers_get_near_nodes_unless_one_alone_is_near)
@@ -373,6 +411,23 @@
     BOOST_TEST((readers == std::set<std::string>{"a1", "b1"}));
 }
 
+BOOST_AUTO_TEST_CASE(a_standby_follows_an_entry_of_its_zone)
+{
+    auto self = node("s", "y");
+    self.is_entry = false;
+    auto reader = node("a", "x");
+    reader.reads_store = true;
+    auto near = node("b", "y");
+    BOOST_TEST((choose_source(self, true, {reader, near}, "a") == "b"));
+    near.store_age = 2s;
+    BOOST_TEST((choose_source(self, true, {reader, near}, "b") == "a"));
+    reader.store_age = 2s;
+    BOOST_TEST(!choose_source(self, true, {reader, near}, "b"));
+    // An entry follows readers only: two must not follow each other.
+    self.is_entry = true;
+    BOOST_TEST(!choose_source(self, true, {node("b", "y")}, ""));
+}
+
 BOOST_AUTO_TEST_CASE(stale_readers_are_not_followed_while_the_store_answers)
 {
     auto reader = node("a", "x");
@@ -389,6 +444,136 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(entries)
+
+namespace
+{
+
+/// Nodes that see each other's state after a while, as through the store.
+struct fleet_of_duties
+{
+    static constexpr duration seen_after = 400ms;
+
+    void add(const std::string& name, unsigned millicores)
+    {
+        auto record = node(name, "z");
+        record.millicores = millicores;
+        this->duties.emplace(name, entry_duty(record));
+        this->records[name] = record;
+    }
+
+    void run_for(duration time)
+    {
+        for (const auto until = this->now + time; this->now < until;
+             this->now += 100ms)
+        {
+            for (auto& [name, duty] : this->duties)
+            {
+                std::vector<node_record> others;
+                for (const auto& [other, since] : this->since)
+                {
+                    const bool is_seen =
+                        this->now - since >= seen_after && other != name;
+                    if (is_seen)
+                    {
+                        others.push_back(this->records.at(other));
+                    }
+                }
+                if (duty.update(others, !this->down.contains(name), this->now))
+                {
+                    this->since.try_emplace(name, this->now);
+                }
+                else
+                {
+                    this->since.erase(name);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::size_t count(unsigned millicores) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->since.begin(),
+            this->since.end(),
+            [&](const auto& item)
+            {
+                return this->records.at(item.first).millicores == millicores;
+            }));
+    }
+
+    std::map<std::string, entry_duty> duties;
+    std::map<std::string, node_record> records;
+    std::map<std::string, time_point> since;
+    std::set<std::string> down;
+    time_point now = begin;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(all_nodes_of_a_small_fleet_serve)
+{
+    fleet_of_duties fleet;
+    for (int i = 0; i < 8; ++i)
+    {
+        fleet.add("n" + std::to_string(i), 250);
+    }
+    fleet.run_for(1s);
+    BOOST_TEST(fleet.count(250) == 8U);
+    fleet.run_for(10s);
+    BOOST_TEST(fleet.count(250) == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(the_strong_nodes_of_a_large_fleet_serve)
+{
+    fleet_of_duties fleet;
+    for (int i = 0; i < 8; ++i)
+    {
+        fleet.add("strong" + std::to_string(i), 500);
+    }
+    for (int i = 0; i < 56; ++i)
+    {
+        fleet.add("weak" + std::to_string(i), 120);
+    }
+    fleet.run_for(10s);
+    BOOST_TEST(fleet.count(500) == 8U);
+    BOOST_TEST(fleet.count(120) == 0U);
+    // Three restart one after the other: nobody stands in for them.
+    fleet.down = {"strong0", "strong1", "strong2"};
+    fleet.run_for(5s);
+    BOOST_TEST(fleet.count(120) == 0U);
+    // Most are lost: weak ones join, and leave when they are not needed.
+    fleet.down = {
+        "strong0", "strong1", "strong2", "strong3", "strong4", "strong5"};
+    fleet.run_for(3s);
+    BOOST_TEST(fleet.count(500) == 2U);
+    BOOST_TEST(fleet.count(120) >= 8U);
+    fleet.down.clear();
+    fleet.run_for(180s);
+    BOOST_TEST(fleet.count(500) == 8U);
+    BOOST_TEST(fleet.count(120) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(equal_nodes_of_a_large_fleet_serve_in_part)
+{
+    fleet_of_duties fleet;
+    for (int i = 0; i < 64; ++i)
+    {
+        fleet.add("n" + std::to_string(i), 250);
+    }
+    fleet.run_for(180s);
+    BOOST_TEST(fleet.count(250) == 16U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_restarts_serves_at_once)
+{
+    entry_duty duty(node("a", "z"));
+    duty.resume();
+    BOOST_TEST(duty.update({}, true, begin));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(mirror)
 
 BOOST_AUTO_TEST_CASE(values_only_move_forward)
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -146,7 +146,7 @@
         {
             this->add_node("node-" + std::to_string(i));
         }
-        this->io.run_for(300ms);
+        this->io.run_for(600ms);
     }
 
     /// Starts a replica that answers after a time.
@@ -233,6 +233,7 @@
         settings.zone = "z";
         settings.stop_grace = 1000ms;
         settings.extra_slack = 56;
+        settings.millicores = 500;
         for (auto* address : {&settings.callers,
                               &settings.readiness,
                               &settings.directory,
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -257,7 +257,7 @@
     config->version = 2;
     config->services["shard3"].cold_requests_per_second = 10;
     world.engine.set_configuration(config);
-    world.engine.set_node_count(8);
+    world.engine.set_division(8, true);
     for (const auto& target :
          world.engine.registry.usable("shard3", world.loop.now()))
     {
