Take the mirror of any node at once after a start; rejoin as an entry at once

Cause: after a loss of power nodes waited 150 ms for seeds, up to 200 ms for the next round to become an entry again, and 0.9 s for the timeout of a store that they were cut from, though other nodes had its mirror.

Change: a node whose mirror is empty follows the first ready node that it hears, asks each 15 ms, and lists the store itself after 30 ms (1 s at the first start). When the mirror names an earlier run of this node as an entry, it joins at once.

--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -24,12 +24,14 @@
 /// A standby asks its entries once in so many intervals.
 constexpr unsigned standby_rounds = 3;
 
-/// A starting node waits this long for another node's mirror before it lists
-/// the store itself: an answer within a zone pair and a process start.
-constexpr std::chrono::milliseconds seed_wait{150};
+/// A node waits this long for another node's mirror before it lists the store
+/// itself. At the first start all nodes start together and nobody is served
+/// yet; later a seed that runs answers within a round trip.
+constexpr std::chrono::milliseconds seed_wait_at_first_start{1000};
+constexpr std::chrono::milliseconds seed_wait{30};
 
-/// Interval of asking seeds while starting.
-constexpr std::chrono::milliseconds seed_interval{30};
+/// Interval of asking seeds while the mirror is empty.
+constexpr std::chrono::milliseconds seed_interval{15};
 
 std::uint64_t new_run()
 {
@@ -56,12 +58,12 @@
 membership::membership(context from,
                        const core::relay::relay_settings& settings)
     : nodes(self_of(settings)), outside(std::move(from)), seeds(settings.seeds),
-      is_seed(settings.is_seed), duty(this->nodes.self()),
-      peers(this->outside.io,
-            [this](const node_record& record)
-            {
-                this->on_heard(record);
-            }),
+      is_seed(settings.is_seed), is_first_start(settings.is_first_start),
+      duty(this->nodes.self()), peers(this->outside.io,
+                                      [this](const node_record& record)
+                                      {
+                                          this->on_heard(record);
+                                      }),
       lease(this->outside.runtime,
             this->outside.store,
             std::string(platform::names::node_prefix) + settings.node_name,
@@ -92,21 +94,23 @@
     }
     else
     {
-        this->find_source(this->outside.runtime.now() + seed_wait);
+        this->find_source(
+            this->outside.runtime.now() +
+            (this->is_first_start ? seed_wait_at_first_start : seed_wait));
     }
     this->tell_others();
 }
 
 void membership::find_source(core::base::time_point until)
 {
-    if (this->source.has_source() || this->is_stopping)
+    if (this->outside.mirror.is_complete() || this->is_stopping)
     {
         return;
     }
-    if (this->outside.runtime.now() >= until)
+    const bool is_over = this->outside.runtime.now() >= until;
+    if (is_over && !this->source.has_source())
     {
         this->source.follow_store();
-        return;
     }
     this->send_beacons();
     this->outside.runtime.call_after(seed_interval,
@@ -141,14 +145,26 @@
         reply.wants_reply = false;
         this->peers.send(record.peers, reply);
     }
-    const bool is_first_source =
-        !this->source.has_source() && record.is_ready && !this->is_stopping;
-    if (is_first_source)
+    // The mirror of any node is better than none, also while calls of the
+    // store have not failed yet.
+    const bool is_wanted = !this->outside.mirror.is_complete() &&
+                           record.is_ready && !this->is_stopping;
+    if (is_wanted)
     {
         this->source.update(this->nodes, false);
     }
 }
 
+void membership::on_mirror_complete()
+{
+    if (!this->duty.is_entry() && this->nodes.has_earlier_run())
+    {
+        this->update_duty();
+        this->update_self();
+        this->send_beacons();
+    }
+}
+
 void membership::report_silent()
 {
     for (const auto& name :
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -53,6 +53,10 @@
     /// @brief Finds a source for the mirror and begins to tell others.
     void start();
 
+    /// @brief Serves callers at once if an earlier run of this node did; call
+    ///        it when the mirror has been filled.
+    void on_mirror_complete();
+
     /// @brief Tells others at once that this node stops, and gives up its key.
     void stop();
 
@@ -80,6 +84,7 @@
     context outside;
     std::vector<std::string> seeds;
     bool is_seed;
+    bool is_first_start;
     core::relay::entry_duty duty;
     beacon peers;
     core::relay::node_lease lease;
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -312,6 +312,7 @@
                                  [this]
                                  {
                                      this->is_feed_due = false;
+                                     this->fleet.on_mirror_complete();
                                      this->feed.on_change();
                                      this->upkeep();
                                  });
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -495,6 +495,32 @@
     BOOST_TEST(here.count(200) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_start_beside_a_silent_store_takes_no_timeout)
+{
+    site here(2);
+    here.store.is_silent = true;
+    here.add_node("node-late");
+    here.io.run_for(200ms);
+    here.ask("/one/x", 2);
+    here.io.run_for(100ms);
+    BOOST_TEST(here.count(200) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_entry_serves_callers_at_once)
+{
+    site here(2);
+    here.io.run_for(600ms);
+    BOOST_TEST_REQUIRE(here.store.has("nodes/node-1"));
+    here.nodes[1].reset();
+    here.nodes[1] =
+        adapters::relay::relay_node::create(here.io, here.settings[1]);
+    BOOST_TEST_REQUIRE(here.nodes[1]->start().has_value());
+    here.io.run_for(100ms);
+    const auto page = here.get(here.settings[1].directory,
+                               "/v1/resolve?name=h.example&zone=z");
+    BOOST_TEST(json::parse(page->body).at("addrs").as_array().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_history_leads_to_a_new_listing)
 {
     site here;
