Add a soak of real processes under faults; take a replica that may have restarted for cold

A replica that restarted got the full load until its registration arrived, since neither a failed send, nor the end of an idle connection, nor a send that was given up was taken for a sign of a restart. Change: where a service states a cold rate, each of these makes the replica cold until a health check says otherwise; the check's own word on coldness is used.

Also: a clock that was set back no longer hides a restarted node; bounds and seeds of a changed settings file are put in force, also without SIGHUP.

--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -165,6 +165,11 @@
     }
 }
 
+void membership::set_seeds(std::vector<std::string> addresses)
+{
+    this->seeds = std::move(addresses);
+}
+
 void membership::report_silent()
 {
     for (const auto& name :
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -60,6 +60,9 @@
     /// @brief Tells others at once that this node stops, and gives up its key.
     void stop();
 
+    /// @brief Changes the nodes that are asked while none is known.
+    void set_seeds(std::vector<std::string> addresses);
+
     /// @brief Logs what has fallen silent.
     void report_silent();
 
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -119,6 +119,10 @@
 
     result<void> start() override
     {
+        this->pool.on_dropped = [this](const core::relay::replica_ptr& target)
+        {
+            this->engine.on_possible_restart(target);
+        };
         auto opened = this->open_listeners();
         if (!opened)
         {
@@ -388,6 +392,10 @@
         {
             this->check_suspect(target);
         }
+        else if (target->may_be_cold)
+        {
+            this->engine.check(target);
+        }
         else
         {
             this->suspects.erase(listed.first);
@@ -404,16 +412,7 @@
         this->log.write(log_event::replica_suspect,
                         {{"replica", id}, {"service", target->record.service}});
     }
-    this->pool.probe(target,
-                     [this, target](bool is_healthy)
-                     {
-                         if (is_healthy)
-                         {
-                             target->health.on_probe_ok();
-                             this->log.write(log_event::replica_recovered,
-                                             {{"replica", target->record.id}});
-                         }
-                     });
+    this->engine.check(target);
 }
 
 void node::serve_caller(http::request message, const http::responder& respond)
@@ -485,7 +484,11 @@
 {
     this->settings.stop_grace = changed.stop_grace;
     this->settings.longest_address_ttl = changed.longest_address_ttl;
-    this->log.write(log_event::settings_reloaded, {});
+    this->engine.set_bounds(engine_settings_of(changed));
+    this->fleet.set_seeds(changed.seeds);
+    this->log.write(log_event::settings_reloaded,
+                    {{"extra_ratio", std::to_string(changed.extra_ratio)},
+                     {"extra_slack", std::to_string(changed.extra_slack)}});
 }
 
 void node::stop(std::function<void()> done)
--- a/src/adapters/relay/replica_link.cpp
+++ b/src/adapters/relay/replica_link.cpp
@@ -192,6 +192,7 @@
             this->on_message();
             return;
         }
+        this->is_dropped = this->phase == state::idle;
         this->fail(send_result::broken, "read: " + error.message());
         return;
     }
--- a/src/adapters/relay/replica_link.hpp
+++ b/src/adapters/relay/replica_link.hpp
@@ -56,6 +56,12 @@
     /// @brief True while there is no request on the link.
     [[nodiscard]] bool is_free() const;
 
+    /// @brief True if the replica ended the connection while it was idle.
+    [[nodiscard]] bool was_dropped() const
+    {
+        return this->is_dropped;
+    }
+
     /// @brief When a request was last sent or answered.
     [[nodiscard]] std::chrono::steady_clock::time_point used_at() const
     {
@@ -106,6 +112,7 @@
     bool is_writing = false;
     bool is_sent = false; ///< a byte of the request may have been written
     bool keep_alive = true;
+    bool is_dropped = false;
 };
 
 } // namespace hawthornrelay::adapters::relay
--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -203,32 +203,33 @@
     }
 }
 
-void replica_pool::probe(const replica_ptr& to,
-                         const std::function<void(bool)>& done)
+void replica_pool::check(const replica_ptr& to,
+                         std::function<void(const ports::health_report&)> done)
 {
     this->counters.add(relay_counter::probes);
-    auto check = std::make_shared<ports::forwarded_request>();
-    check->method = "GET";
-    check->target = "/healthz";
-    check->host = to->record.address;
+    auto question = std::make_shared<ports::forwarded_request>();
+    question->method = "GET";
+    question->target = "/healthz";
+    question->host = to->record.address;
     if (this->config != nullptr)
     {
         const auto service = this->config->services.find(to->record.service);
         if (service != this->config->services.end())
         {
-            check->target = service->second.health_path;
+            question->target = service->second.health_path;
         }
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(this->io);
     const auto number =
         this->send(to,
-                   std::move(check),
+                   std::move(question),
                    probe_timeout,
                    [done, timer](const ports::send_outcome& outcome)
                    {
                        timer->cancel();
-                       done(outcome.result == send_result::answered &&
-                            outcome.answer.status == 200);
+                       done({outcome.result == send_result::answered &&
+                                 outcome.answer.status == 200,
+                             outcome.cold_for});
                    });
     timer->expires_after(probe_timeout);
     timer->async_wait(
@@ -237,7 +238,7 @@
             if (!error && this->sends.contains(number))
             {
                 this->cancel(number);
-                done(false);
+                done({});
             }
         });
 }
@@ -290,14 +291,23 @@
 void replica_pool::on_closed(key target, const replica_link* link)
 {
     const auto found = this->entries.find(target);
-    if (found != this->entries.end())
+    if (found == this->entries.end())
     {
-        std::erase_if(found->second.links,
-                      [link](const std::shared_ptr<replica_link>& item)
-                      {
-                          return item.get() == link;
-                      });
+        return;
     }
+    if (link->was_dropped() && this->on_dropped)
+    {
+        boost::asio::post(this->io,
+                          [this, replica = found->second.target]
+                          {
+                              this->on_dropped(replica);
+                          });
+    }
+    std::erase_if(found->second.links,
+                  [link](const std::shared_ptr<replica_link>& item)
+                  {
+                      return item.get() == link;
+                  });
 }
 
 } // namespace hawthornrelay::adapters::relay
--- a/src/adapters/relay/replica_pool.hpp
+++ b/src/adapters/relay/replica_pool.hpp
@@ -34,6 +34,12 @@
                        core::base::duration time_left,
                        handler done) override;
     void cancel(std::uint64_t send) override;
+    void check(const core::relay::replica_ptr& to,
+               std::function<void(const ports::health_report&)> done) override;
+
+    /// @brief Told of a replica that has dropped an idle connection, perhaps
+    ///        because it restarted.
+    std::function<void(const core::relay::replica_ptr&)> on_dropped;
 
     /// @brief Sets the bounds on connections.
     /// @param config the configuration in force
@@ -47,12 +53,6 @@
     /// @param to the replica
     void keep_warm(const core::relay::replica_ptr& to);
 
-    /// @brief Asks a replica whether it is healthy.
-    /// @param to the replica
-    /// @param done receives true when it is
-    void probe(const core::relay::replica_ptr& to,
-               const std::function<void(bool)>& done);
-
     /// @brief Closes the idle connections of replicas that are not listed any
     ///        more.
     void drop_removed();
--- a/src/commands/relay.cpp
+++ b/src/commands/relay.cpp
@@ -1,14 +1,19 @@
 // Runs one node on the users' platform until SIGTERM.
 #include <commands/command.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <functional>
 #include <string>
+#include <system_error>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 #include <adapters/relay/relay_node.hpp>
@@ -41,6 +46,72 @@
     return exit_usage;
 }
 
+/// Puts a changed settings file in force, at a signal or when it is noticed.
+class settings_watch
+{
+  public:
+    settings_watch(boost::asio::io_context& io,
+                   std::string path,
+                   adapters::relay::relay_node& node)
+        : path(std::move(path)), node(node), timer(io),
+          seen(this->last_change())
+    {
+        this->wait();
+    }
+
+    void reload()
+    {
+        this->seen = this->last_change();
+        const auto changed = platform::decode_settings(this->path);
+        if (changed)
+        {
+            this->node.reload(*changed);
+        }
+        else
+        {
+            // The settings in force stay.
+            report(changed.error());
+        }
+    }
+
+  private:
+    /// The file may change without a signal; operators expect a change to be
+    /// in force within 3 s.
+    static constexpr std::chrono::seconds interval{2};
+
+    using file_time = std::filesystem::file_time_type;
+
+    [[nodiscard]] file_time last_change() const
+    {
+        std::error_code error;
+        const auto time = std::filesystem::last_write_time(this->path, error);
+        return error ? file_time::min() : time;
+    }
+
+    void wait()
+    {
+        this->timer.expires_after(interval);
+        this->timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (error)
+                {
+                    return;
+                }
+                if (this->last_change() != this->seen)
+                {
+                    this->reload();
+                }
+                this->wait();
+            });
+    }
+
+    std::string path;
+    adapters::relay::relay_node& node;
+    boost::asio::steady_timer timer;
+    file_time seen;
+};
+
 } // namespace
 
 int relay(const arguments& args)
@@ -60,6 +131,7 @@
     {
         return report(started.error());
     }
+    settings_watch watch(io, path, *node);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     std::function<void()> wait_for_signal = [&]
     {
@@ -70,7 +142,11 @@
                 {
                     return;
                 }
-                if (signal != SIGHUP)
+                if (signal == SIGHUP)
+                {
+                    watch.reload();
+                }
+                else
                 {
                     node->stop(
                         [&io]
@@ -78,14 +154,6 @@
                             io.stop();
                         });
                 }
-                else if (const auto changed = platform::decode_settings(path))
-                {
-                    node->reload(*changed);
-                }
-                else
-                {
-                    report(changed.error());
-                }
                 wait_for_signal();
             });
     };
--- a/src/core/relay/extra_budget.cpp
+++ b/src/core/relay/extra_budget.cpp
@@ -42,6 +42,13 @@
     this->takes_part = takes;
 }
 
+void extra_budget::set_bound(double ratio, double slack, base::duration window)
+{
+    this->settings.ratio = ratio;
+    this->settings.slack = slack;
+    this->settings.window = window;
+}
+
 void extra_budget::on_request(const std::string& service, time_point now)
 {
     auto& entry = this->accounts[service];
--- a/src/core/relay/extra_budget.hpp
+++ b/src/core/relay/extra_budget.hpp
@@ -51,6 +51,9 @@
     /// @param now the current time
     void set_division(unsigned count, bool takes_part, base::time_point now);
 
+    /// @brief Changes the bound for later sends.
+    void set_bound(double ratio, double slack, base::duration window);
+
     /// @brief Counts a caller's request for a service.
     void on_request(const std::string& service, base::time_point now);
 
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -35,15 +35,13 @@
 {
     if (record.name == this->own.name)
     {
-        this->earlier_run = this->earlier_run || record.run < this->own.run;
+        this->earlier_run = this->earlier_run || record.run != this->own.run;
         return;
     }
     auto& item = this->entries[record.name];
-    if (record.run < item.record.run)
-    {
-        return;
-    }
-    const bool is_new_run = record.run > item.record.run;
+    // What is heard now is newer than any list.
+    const bool is_new_run =
+        record.run != item.record.run && !this->is_heard(item, now);
     if (is_new_run)
     {
         item.was_heard = false;
@@ -82,11 +80,13 @@
         return false;
     }
     auto& item = this->entries[record.name];
-    if (record.run < item.record.run)
+    const bool was_silent = !this->is_heard(item, now);
+    // A datagram that was overtaken. Run numbers come from the clock, which may
+    // have been set back, so they do not count against a silent run.
+    if (record.run < item.record.run && !was_silent)
     {
         return false;
     }
-    const bool was_silent = !this->is_heard(item, now);
     const bool has_stopped =
         record.run == item.record.run && item.record.is_stopping;
     this->note_entry(item, now);
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -22,6 +22,10 @@
     replica_record record;
     replica_health health;
     base::time_point cold_until{};
+    /// A failed send may mean that it restarted: it is taken for cold until a
+    /// health check says otherwise.
+    bool may_be_cold = false;
+    bool is_being_checked = false;
     bool is_removed = false; ///< its registration is gone
     /// Until then nothing is sent to it: another replica answers at its
     /// address.
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -72,6 +72,14 @@
                   });
 }
 
+void request_engine::set_bounds(const engine_settings& changed)
+{
+    this->settings.cold_overshoot = changed.cold_overshoot;
+    this->settings.cold_slack = changed.cold_slack;
+    this->extras.set_bound(
+        changed.extras.ratio, changed.extras.slack, changed.extras.window);
+}
+
 void request_engine::set_division(unsigned entry_count, bool is_entry)
 {
     this->entry_count = std::max(1U, entry_count);
@@ -152,21 +160,69 @@
     return nullptr;
 }
 
-bool request_engine::admit_cold(replica& target, time_point now)
+double request_engine::cold_rate(const replica& target) const
 {
-    if (target.cold_until <= now || this->config == nullptr)
+    if (this->config == nullptr)
     {
-        return true;
+        return 0;
     }
     const auto service = this->config->services.find(target.record.service);
-    if (service == this->config->services.end() ||
-        service->second.cold_requests_per_second <= 0)
+    return service == this->config->services.end()
+               ? 0
+               : service->second.cold_requests_per_second;
+}
+
+void request_engine::on_possible_restart(const replica_ptr& target)
+{
+    if (this->cold_rate(*target) > 0)
+    {
+        target->may_be_cold = true;
+        this->check(target);
+    }
+}
+
+void request_engine::check(const replica_ptr& target)
+{
+    if (target->is_being_checked)
+    {
+        return;
+    }
+    target->is_being_checked = true;
+    this->transport.check(
+        target,
+        [this, target](const ports::health_report& found)
+        {
+            target->is_being_checked = false;
+            if (!found.is_healthy)
+            {
+                return;
+            }
+            const bool was_suspect = target->health.is_suspect();
+            target->may_be_cold = false;
+            target->health.on_probe_ok();
+            if (found.cold_for)
+            {
+                target->cold_until = this->runtime.now() + *found.cold_for;
+            }
+            if (was_suspect)
+            {
+                this->log.write(base::log_event::replica_recovered,
+                                {{"replica", target->record.id},
+                                 {"cold", found.cold_for ? "1" : "0"}});
+            }
+        });
+}
+
+bool request_engine::admit_cold(replica& target, time_point now)
+{
+    const double rate = this->cold_rate(target);
+    const bool is_cold = target.cold_until > now || target.may_be_cold;
+    if (!is_cold || rate <= 0)
     {
         return true;
     }
-    const double over_all_nodes = service->second.cold_requests_per_second *
-                                      this->settings.cold_overshoot +
-                                  this->settings.cold_slack;
+    const double over_all_nodes =
+        rate * this->settings.cold_overshoot + this->settings.cold_slack;
     const double own =
         over_all_nodes * cold_safety /
         static_cast<double>(this->entry_count *
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -81,6 +81,10 @@
         return this->config;
     }
 
+    /// @brief Changes the bounds that all nodes share.
+    /// @param changed the settings; those of this node's identity are ignored
+    void set_bounds(const engine_settings& changed);
+
     /// @brief Sets who divides the bounds that all nodes share.
     /// @param entry_count entries of the fleet
     /// @param is_entry whether this node is one of them
@@ -95,6 +99,13 @@
     /// @brief Tells that the caller of a request has left.
     void on_caller_gone(std::uint64_t request);
 
+    /// @brief Notes that a replica may have restarted: a send failed, or it
+    ///        dropped a connection.
+    void on_possible_restart(const replica_ptr& target);
+
+    /// @brief Asks a replica for its health, unless it is being asked.
+    void check(const replica_ptr& target);
+
     /// @brief Requests without an answer.
     [[nodiscard]] std::size_t active() const
     {
@@ -115,6 +126,7 @@
                        const std::vector<replica_ptr>& avoid,
                        base::duration usual);
     bool admit_cold(replica& target, base::time_point now);
+    [[nodiscard]] double cold_rate(const replica& target) const;
     void forget(std::uint64_t request);
 
     engine_settings settings;
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -304,6 +304,13 @@
                            result == send_result::broken ||
                            result == send_result::abandoned;
     attempt.target->health.on_result(attempt.send, result, slowness, now);
+    const bool is_failure = result == send_result::broken ||
+                            result == send_result::not_sent ||
+                            result == send_result::abandoned;
+    if (is_failure)
+    {
+        this->engine.on_possible_restart(attempt.target);
+    }
     if (attempt.is_extra)
     {
         this->engine.extras.on_settled(attempt.target->record.service, now);
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -50,6 +50,13 @@
     std::string detail; ///< why it failed, for the log
 };
 
+/// @brief What a health check found.
+struct health_report
+{
+    bool is_healthy = false;
+    std::optional<core::base::duration> cold_for; ///< it said that it is cold
+};
+
 /// @brief Sends requests to replicas on kept connections.
 class replica_transport
 {
@@ -72,6 +79,12 @@
                                core::base::duration time_left,
                                handler done) = 0;
 
+    /// @brief Asks a replica for its health.
+    /// @param to the replica
+    /// @param done receives the outcome once, never before check() returns
+    virtual void check(const core::relay::replica_ptr& to,
+                       std::function<void(const health_report&)> done) = 0;
+
     /// @brief Gives a send up: resets its connection, so that the replica
     ///        stops, and calls its handler no more.
     virtual void cancel(std::uint64_t send) = 0;
--- a/tests/relay/test_relay_parts.cpp
+++ b/tests/relay/test_relay_parts.cpp
@@ -338,6 +338,26 @@
     BOOST_TEST(nodes.usable(begin).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_clock_that_was_set_back_hides_no_restarted_node)
+{
+    node_directory nodes(node("a", "z"));
+    auto before = node("b", "z");
+    before.run = 1000;
+    before.callers = "b:1";
+    nodes.on_listed(before, begin);
+    nodes.on_heard(before, begin);
+    auto after = before;
+    after.run = 10;
+    after.callers = "b:3";
+    nodes.on_heard(after, begin + 100ms); // no news while the other is heard
+    BOOST_TEST(nodes.usable(begin + 100ms).front().callers == "b:1");
+    nodes.on_heard(after, begin + 800ms);
+    BOOST_TEST(nodes.usable(begin + 800ms).front().callers == "b:3");
+    // The list still names the run before.
+    nodes.on_listed(before, begin + 900ms);
+    BOOST_TEST(nodes.usable(begin + 900ms).front().callers == "b:3");
+}
+
 BOOST_AUTO_TEST_CASE(a_node_that_hears_nobody_names_the_listed)
 {
     node_directory nodes(node("a", "z"));
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -290,6 +290,45 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_came_back_unseen_is_taken_for_cold)
+{
+    // Its first send after the restart meets the old connection's end.
+    bool has_restarted = false;
+    relay_world world(
+        [&](const relay::replica& replica, const std::string&)
+        {
+            const bool is_broken =
+                replica.record.id == "shard3-a" && !has_restarted;
+            return is_broken ? reset : ok;
+        });
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["shard3"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, true);
+    world.replicas.health = [&](const relay::replica&)
+    {
+        return hawthornrelay::ports::health_report{true, duration(3s)};
+    };
+    served_in_time(world, 1, 11ms);
+    has_restarted = true;
+    const auto back = world.loop.now();
+    for (int i = 0; i < 90; ++i)
+    {
+        world.start("back" + std::to_string(i), "/s/x");
+        world.loop.run_for(11ms);
+    }
+    const auto count =
+        std::count_if(world.replicas.arrivals.begin(),
+                      world.replicas.arrivals.end(),
+                      [&](const scripted_replicas::arrival& item)
+                      {
+                          return item.replica == "shard3-a" && item.at >= back;
+                      });
+    // An eighth of 10 x 1.5 + 5 in a second.
+    BOOST_TEST(count <= 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_zone_that_is_out_gets_nothing)
 {
     relay_world world(always(ok));
--- /dev/null
+++ b/tests/soak/program.hpp
@@ -0,0 +1,218 @@
+/// @file
+/// @brief One relay process, started from its program and driven by signals.
+#pragma once
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+namespace hawthornrelay::tests::soak
+{
+
+using std::chrono::steady_clock;
+
+/// @brief A relay on an address of its own, with the times of what was done to
+///        it.
+class program
+{
+  public:
+    program(std::string name,
+            std::string zone,
+            std::string ip,
+            std::string store,
+            std::vector<std::string> seeds,
+            std::string folder)
+        : name(std::move(name)), zone(std::move(zone)), ip(std::move(ip)),
+          store(std::move(store)), seeds(std::move(seeds)),
+          folder(std::move(folder))
+    {
+    }
+
+    ~program()
+    {
+        this->kill();
+    }
+
+    program(const program&) = delete;
+    program& operator=(const program&) = delete;
+
+    void start(bool is_first)
+    {
+        this->write_settings(is_first);
+        const auto file = this->settings_path();
+        const std::string variable = "HAWTHORNRELAY_NODE_FILE=" + file;
+        std::string path = "build/hawthornrelay";
+        std::string command = "relay";
+        const std::vector<char*> words{path.data(), command.data(), nullptr};
+        std::string home = "HOME=/tmp";
+        std::string shown = variable;
+        const std::vector<char*> environment{
+            shown.data(), home.data(), nullptr};
+        posix_spawn_file_actions_t actions{};
+        posix_spawn_file_actions_init(&actions);
+        const auto log = this->folder + "/" + this->name + ".log";
+        posix_spawn_file_actions_addopen(
+            &actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        posix_spawn_file_actions_adddup2(&actions, 1, 2);
+        if (posix_spawn(&this->pid,
+                        path.c_str(),
+                        &actions,
+                        nullptr,
+                        words.data(),
+                        environment.data()) != 0)
+        {
+            std::abort();
+        }
+        posix_spawn_file_actions_destroy(&actions);
+        ++this->run;
+        this->is_stopping = false;
+        this->is_paused = false;
+        this->disturbed_at = steady_clock::now();
+    }
+
+    /// Asks the process to end; it is killed after the grace time.
+    void terminate()
+    {
+        this->signal(SIGTERM);
+        this->is_stopping = true;
+        this->stopped_at = steady_clock::now();
+    }
+
+    void kill()
+    {
+        if (this->pid > 0)
+        {
+            this->signal(SIGKILL);
+            ::waitpid(this->pid, nullptr, 0);
+            this->on_end();
+        }
+    }
+
+    void pause()
+    {
+        this->signal(SIGSTOP);
+        this->is_paused = true;
+    }
+
+    void resume()
+    {
+        this->signal(SIGCONT);
+        this->is_paused = false;
+    }
+
+    /// Changes the settings file, with or without a signal.
+    void reload(bool with_signal)
+    {
+        this->write_settings(false);
+        if (with_signal)
+        {
+            ::kill(this->pid, SIGHUP);
+        }
+    }
+
+    /// @brief Notices an end.
+    /// @return true if the process has ended by itself, unasked
+    bool has_failed()
+    {
+        int status = 0;
+        if (this->pid <= 0 || ::waitpid(this->pid, &status, WNOHANG) == 0)
+        {
+            return false;
+        }
+        const bool is_asked =
+            this->is_stopping && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+        this->on_end();
+        return !is_asked;
+    }
+
+    [[nodiscard]] bool is_running() const
+    {
+        return this->pid > 0;
+    }
+
+    /// @brief True if the process ran undisturbed for a time.
+    [[nodiscard]] bool is_calm(std::chrono::milliseconds time) const
+    {
+        return this->is_running() && !this->is_paused && !this->is_stopping &&
+               steady_clock::now() - this->disturbed_at > time;
+    }
+
+    void disturb()
+    {
+        this->disturbed_at = steady_clock::now();
+    }
+
+    [[nodiscard]] std::string callers() const
+    {
+        return this->ip + ":8104";
+    }
+
+    [[nodiscard]] std::string directory() const
+    {
+        return this->ip + ":8100";
+    }
+
+    const std::string name;
+    const std::string zone;
+    const std::string ip;
+    unsigned run = 0;
+    bool is_stopping = false;
+    bool is_paused = false;
+    steady_clock::time_point stopped_at{};
+    steady_clock::time_point ended_at{};
+
+  private:
+    void signal(int number)
+    {
+        this->disturb();
+        ::kill(this->pid, number);
+    }
+
+    void on_end()
+    {
+        this->pid = 0;
+        this->ended_at = steady_clock::now();
+        this->disturb();
+    }
+
+    [[nodiscard]] std::string settings_path() const
+    {
+        return this->folder + "/" + this->name + ".yaml";
+    }
+
+    void write_settings(bool is_first) const
+    {
+        std::ofstream out(this->settings_path());
+        out << "nodeName: \"" << this->name << "\"\nzone: \"" << this->zone
+            << "\"\nipAddress: \"" << this->ip << "\"\nlistenAddresses:\n"
+            << "  frontend: \"" << this->ip << ":8104\"\n  ready: \""
+            << this->ip << ":8108\"\n  directory: \"" << this->ip
+            << ":8100\"\ninternalPortRange: [7380, 7395]\nseedNodes:\n";
+        for (const auto& seed : this->seeds)
+        {
+            out << "  - \"" << seed << ":8106\"\n";
+        }
+        out << "bootstrap: " << (is_first ? "true" : "false")
+            << "\nlimits: {cpuShare: 0.25, cpuCores: 1}\nplatform:\n  address: "
+               "\""
+            << this->store << "\"\n  minTtlMs: 1000\nbounds:\n"
+            << "  gracePeriodS: 6\n  ttl_max_s: 5\n  retryBudgetRatio: 0.2\n"
+            << "  retryBudgetSlack: 56\n  budgetWindowS: 10\n"
+            << "  warmupOvershoot: 1.5\n  warmupSlack: 5\n";
+    }
+
+    std::string store;
+    std::vector<std::string> seeds;
+    std::string folder;
+    pid_t pid = 0;
+    steady_clock::time_point disturbed_at{};
+};
+
+} // namespace hawthornrelay::tests::soak
--- a/tests/support/relay_world.hpp
+++ b/tests/support/relay_world.hpp
@@ -84,6 +84,17 @@
         return number;
     }
 
+    void check(const relay::replica_ptr& to,
+               std::function<void(const ports::health_report&)> done) override
+    {
+        ++this->checks;
+        this->loop.after(this->check_time,
+                         [this, to, done]
+                         {
+                             done(this->health(*to));
+                         });
+    }
+
     void cancel(std::uint64_t send) override
     {
         this->cancelled += this->pending.erase(send);
@@ -114,6 +125,13 @@
     script behaviour;
     std::vector<arrival> arrivals;
     std::size_t cancelled = 0;
+    std::size_t checks = 0;
+    core::base::duration check_time = std::chrono::milliseconds(2);
+    std::function<ports::health_report(const relay::replica&)> health =
+        [](const relay::replica&)
+    {
+        return ports::health_report{true, std::nullopt};
+    };
     core::base::duration longest_time_left{};
 
   private:
