--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -112,18 +112,10 @@
     this->runs.erase(request);
 }
 
-replica_ptr request_engine::choose(const std::string& service,
-                                   const std::vector<replica_ptr>& avoid,
+replica_ptr request_engine::choose(const std::vector<replica_ptr>& candidates,
                                    duration usual)
 {
     const auto now = this->runtime.now();
-    auto candidates = this->registry.usable(service, now);
-    std::erase_if(candidates,
-                  [&](const replica_ptr& candidate)
-                  {
-                      return std::find(avoid.begin(), avoid.end(), candidate) !=
-                             avoid.end();
-                  });
     // Equal candidates take turns.
     ++this->next_choice;
     std::vector<std::pair<double, replica_ptr>> ranked;
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -119,11 +119,10 @@
     friend class request_run;
 
     /// @brief Chooses a replica.
-    /// @param service the service
-    /// @param avoid replicas that were tried
+    /// @param candidates usable replicas
+    /// @param usual the time after which a send waits longer than usual
     /// @return the replica, or nullptr when none may be used
-    replica_ptr choose(const std::string& service,
-                       const std::vector<replica_ptr>& avoid,
+    replica_ptr choose(const std::vector<replica_ptr>& candidates,
                        base::duration usual);
     bool admit_cold(replica& target, base::time_point now);
     [[nodiscard]] double cold_rate(const replica& target) const;
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -102,8 +102,9 @@
     for (auto& part : this->parts)
     {
         this->engine.extras.on_request(part.service, this->started);
-        targets.push_back(
-            this->engine.choose(part.service, {}, this->hedge_delay()));
+        const auto usable =
+            this->engine.registry.usable(part.service, this->started);
+        targets.push_back(this->engine.choose(usable, this->hedge_delay()));
         part.is_failed = true;
     }
     for (std::size_t i = 0; i < targets.size(); ++i)
@@ -183,33 +184,66 @@
     return why == reason::hedge ? hedge_part : 1.0;
 }
 
-bool request_run::send_again(std::size_t index, reason why)
+std::vector<replica_ptr>
+request_run::candidates_again(const part_state& part, reason why) const
 {
-    auto& part = this->parts[index];
-    const auto now = this->engine.runtime.now();
-    if (part.tries.size() >= most_tries || now >= this->deadline)
-    {
-        return false;
-    }
-    std::vector<replica_ptr> avoid;
-    std::set<const replica*> ran_at;
+    std::size_t runs = 0;
+    std::set<const replica*> tried;
+    std::set<const replica*> ran;
+    std::set<const replica*> pending;
     for (const auto& attempt : part.tries)
     {
+        const auto* target = attempt.target.get();
+        tried.insert(target);
         if (attempt.may_have_run)
         {
-            ran_at.insert(attempt.target.get());
+            ran.insert(target);
+            ++runs;
         }
-        if (attempt.may_have_run || why != reason::shed)
+        if (attempt.is_pending)
         {
-            avoid.push_back(attempt.target);
+            pending.insert(target);
         }
     }
-    if (ran_at.size() >= this->way->max_replicas_per_attempt)
+    // The route bounds the replicas that run a request, not how often one does:
+    // when the answers of all of them were lost, one of them runs it again. Not
+    // more often, since the request itself may crash them.
+    const bool is_full = ran.size() >= this->way->max_replicas_per_attempt;
+    if (runs > this->way->max_replicas_per_attempt)
+    {
+        return {};
+    }
+    auto result = this->engine.registry.usable(part.service,
+                                               this->engine.runtime.now());
+    std::erase_if(result,
+                  [&](const replica_ptr& candidate)
+                  {
+                      const auto* target = candidate.get();
+                      if (pending.contains(target))
+                      {
+                          return true;
+                      }
+                      if (is_full)
+                      {
+                          return !ran.contains(target) || why == reason::hedge;
+                      }
+                      // A replica that shed the request has not run it.
+                      return ran.contains(target) ||
+                             (tried.contains(target) && why != reason::shed);
+                  });
+    return result;
+}
+
+bool request_run::send_again(std::size_t index, reason why)
+{
+    auto& part = this->parts[index];
+    const auto now = this->engine.runtime.now();
+    if (part.tries.size() >= most_tries || now >= this->deadline)
     {
         return false;
     }
-    const auto target =
-        this->engine.choose(part.service, avoid, this->hedge_delay());
+    const auto target = this->engine.choose(this->candidates_again(part, why),
+                                            this->hedge_delay());
     const bool is_hopeless_hedge = why == reason::hedge && target != nullptr &&
                                    target->health.is_suspect();
     if (target == nullptr || is_hopeless_hedge)
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -74,6 +74,8 @@
     [[nodiscard]] base::duration hedge_delay() const;
     void send_all_parts();
     bool send_again(std::size_t index, reason why);
+    [[nodiscard]] std::vector<replica_ptr>
+    candidates_again(const part_state& part, reason why) const;
     void log_again(base::log_event event,
                    const part_state& part,
                    const replica& target,
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -202,6 +202,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(lost_answers_of_both_replicas_are_asked_for_again)
+{
+    std::map<std::string, int> sends;
+    relay_world world(
+        [&](const relay::replica& replica, const std::string& request)
+        {
+            const bool is_lost = replica.record.service.ends_with("3") &&
+                                 ++sends[replica.record.service + request] < 3;
+            return is_lost ? reset : ok;
+        });
+    world.start("q", "/s/x");
+    world.loop.run_for(1s);
+    BOOST_TEST(world.answers.at("q").missing_shards == 0U);
+    BOOST_TEST(world.replicas.count("q", "shard3") == 3U);
+    std::set<std::string> ran;
+    for (const auto& item : world.replicas.arrivals)
+    {
+        if (item.service == "shard3")
+        {
+            ran.insert(item.replica);
+        }
+    }
+    BOOST_TEST(ran.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_tail_is_hedged_with_few_sends)
 {
     std::srand(3);
