Compress pages between nodes; refer starting nodes to their zone; entries by zone

After a kill of all nodes the seeds' links were full for seconds, and most of the bytes crossed zones.

Change: pages between nodes are compressed (zlib), the listing once for a revision; a seed refers who asks from another zone to a ready node of that zone; followers spread over the entries of their zone; each zone gives an equal part of the entries, so that none is left without.

--- a/src/adapters/relay/beacon.cpp
+++ b/src/adapters/relay/beacon.cpp
@@ -95,7 +95,8 @@
                                                store_age_ms(self),
                                                self.millicores,
                                                self.is_entry,
-                                               self.wants_reply));
+                                               self.wants_reply,
+                                               self.referral.c_str()));
     boost::system::error_code ignored;
     this->socket.send_to(
         boost::asio::buffer(builder.GetBufferPointer(), builder.GetSize()),
@@ -144,6 +145,7 @@
     record.millicores = message->millicores();
     record.is_entry = message->entry();
     record.wants_reply = message->asks();
+    record.referral = text(message->referral());
     if (!record.name.empty())
     {
         this->on_heard(record);
--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -33,6 +33,9 @@
 /// Interval of asking seeds while the mirror is empty.
 constexpr std::chrono::milliseconds seed_interval{15};
 
+/// Time for a node of the own zone to answer after a referral.
+constexpr std::chrono::milliseconds referral_wait{10};
+
 std::uint64_t new_run()
 {
     return static_cast<std::uint64_t>(
@@ -59,11 +62,12 @@
                        const core::relay::relay_settings& settings)
     : nodes(self_of(settings)), outside(std::move(from)), seeds(settings.seeds),
       is_seed(settings.is_seed), is_first_start(settings.is_first_start),
-      duty(this->nodes.self()), peers(this->outside.io,
-                                      [this](const node_record& record)
-                                      {
-                                          this->on_heard(record);
-                                      }),
+      duty(this->nodes.self(), settings.zone_count),
+      peers(this->outside.io,
+            [this](const node_record& record)
+            {
+                this->on_heard(record);
+            }),
       lease(this->outside.runtime,
             this->outside.store,
             std::string(platform::names::node_prefix) + settings.node_name,
@@ -143,16 +147,38 @@
         this->update_self();
         auto reply = this->nodes.self();
         reply.wants_reply = false;
+        if (!record.is_ready)
+        {
+            reply.referral = this->nodes.referral_for(record, now);
+        }
         this->peers.send(record.peers, reply);
     }
     // The mirror of any node is better than none, also while calls of the
     // store have not failed yet.
     const bool is_wanted = !this->outside.mirror.is_complete() &&
                            record.is_ready && !this->is_stopping;
-    if (is_wanted)
+    if (!is_wanted)
+    {
+        return;
+    }
+    if (record.referral.empty() || this->source.has_source())
     {
         this->source.update(this->nodes, false);
+        return;
     }
+    // A listing is large; one from the own zone crosses no zones.
+    auto question = this->nodes.self();
+    question.wants_reply = true;
+    this->peers.send(record.referral, question);
+    this->outside.runtime.call_after(referral_wait,
+                                     [this]
+                                     {
+                                         if (!this->source.has_source())
+                                         {
+                                             this->source.update(this->nodes,
+                                                                 false);
+                                         }
+                                     });
 }
 
 void membership::on_mirror_complete()
--- a/src/adapters/relay/peer_feed.cpp
+++ b/src/adapters/relay/peer_feed.cpp
@@ -6,6 +6,8 @@
 
 #include <schemas/generated/relay_generated.h>
 
+#include <adapters/relay/compression.hpp>
+
 namespace hawthornrelay::adapters::relay
 {
 
@@ -55,8 +57,23 @@
             builder.GetSize()};
 }
 
-result<store_page> decode(const std::string& body)
+/// Registrations are alike, so pages shrink to a tenth.
+http::response page_response(const store_page& page)
 {
+    http::response reply;
+    reply.content_type = "application/octet-stream";
+    reply.body = compress(encode(page));
+    return reply;
+}
+
+result<store_page> decode(const std::string& compressed)
+{
+    const auto plain = decompress(compressed);
+    if (!plain)
+    {
+        return tl::unexpected(plain.error());
+    }
+    const auto& body = *plain;
     const auto* bytes = reinterpret_cast<const std::uint8_t*>(body.data());
     flatbuffers::Verifier verifier(bytes, body.size());
     if (!verifier.VerifyBuffer<schemas::StorePage>(nullptr))
@@ -84,14 +101,6 @@
     return page;
 }
 
-http::response page_response(const store_page& page)
-{
-    http::response reply;
-    reply.content_type = "application/octet-stream";
-    reply.body = encode(page);
-    return reply;
-}
-
 http::response status_response(unsigned status)
 {
     http::response reply;
@@ -117,7 +126,7 @@
     }
     if (message.target == list_target)
     {
-        respond(page_response(this->mirror.listing()));
+        respond(this->listing());
         return;
     }
     if (!message.target.starts_with(watch_target))
@@ -151,6 +160,19 @@
                              });
 }
 
+http::response peer_feed::listing()
+{
+    if (this->listing_revision != this->mirror.revision())
+    {
+        this->listing_body = page_response(this->mirror.listing()).body;
+        this->listing_revision = this->mirror.revision();
+    }
+    http::response reply;
+    reply.content_type = "application/octet-stream";
+    reply.body = this->listing_body;
+    return reply;
+}
+
 void peer_feed::on_change()
 {
     const auto answered = std::exchange(this->waiting, {});
--- a/src/adapters/relay/peer_feed.hpp
+++ b/src/adapters/relay/peer_feed.hpp
@@ -42,11 +42,15 @@
     };
 
     void answer(const waiter& waiting);
+    [[nodiscard]] http::response listing();
 
     ports::runtime& runtime;
     const core::relay::store_mirror& mirror;
     std::map<std::uint64_t, waiter> waiting;
     std::uint64_t next_waiter = 1;
+    /// The last listing as it was sent; many nodes that start ask for the same.
+    std::string listing_body;
+    std::uint64_t listing_revision = 0;
 };
 
 /// @brief Reads the mirror of another node.
--- a/src/core/relay/entry_duty.cpp
+++ b/src/core/relay/entry_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 #include <core/base/hash.hpp>
 
@@ -16,11 +17,12 @@
 
 /// Processor time that all entries should have together: ten times what the
 /// users' largest stated load takes, so that the sends of one search do not
-/// wait for those of another.
+/// wait for those of another. Each zone gives an equal part.
 constexpr unsigned wanted_millicores = 4000;
 
 /// A node below this part of the strongest entry makes its callers wait. It
-/// joins only when the entries have less than the same part of what is wanted.
+/// joins only when all entries have less than the same part of what is wanted,
+/// whatever its zone has.
 constexpr double weak_part = 0.5;
 
 /// Delay of joining for a node with a whole core; a weaker one waits longer, so
@@ -54,28 +56,39 @@
 
 } // namespace
 
-entry_duty::entry_duty(const node_record& self)
-    : name(self.name), millicores(self.millicores)
+entry_duty::entry_duty(const node_record& self, std::size_t zone_count)
+    : name(self.name), zone(self.zone), millicores(self.millicores),
+      zone_count(std::max<std::size_t>(1, zone_count))
 {
 }
 
 bool entry_duty::is_wanted(const std::vector<node_record>& others) const
 {
+    const bool are_few = strength_of(others) < wanted_millicores * weak_part;
     const bool is_weak = this->millicores < weak_part * strongest_of(others);
-    return strength_of(others) <
-           wanted_millicores * (is_weak ? weak_part : 1.0);
+    auto near = others;
+    std::erase_if(near,
+                  [this](const node_record& other)
+                  {
+                      return other.zone != this->zone;
+                  });
+    const bool is_zone_short =
+        strength_of(near) < wanted_millicores / this->zone_count;
+    return are_few || (is_zone_short && !is_weak);
 }
 
 bool entry_duty::is_surplus(const std::vector<node_record>& others) const
 {
-    // One entry leaves at a time: the weakest, of equal ones the last by name.
+    // One entry of a zone leaves at a time: the weakest, of equal ones the last
+    // by name.
     const bool is_weakest =
         std::all_of(others.begin(),
                     others.end(),
                     [this](const node_record& other)
                     {
-                        return std::tie(this->millicores, other.name) <
-                               std::tie(other.millicores, this->name);
+                        return other.zone != this->zone ||
+                               std::tie(this->millicores, other.name) <
+                                   std::tie(other.millicores, this->name);
                     });
     return is_weakest && !this->is_wanted(others);
 }
--- a/src/core/relay/entry_duty.hpp
+++ b/src/core/relay/entry_duty.hpp
@@ -2,7 +2,9 @@
 /// @brief Decides whether a node is an entry or a standby.
 #pragma once
 
+#include <cstddef>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <core/base/time.hpp>
@@ -21,8 +23,9 @@
 {
   public:
     /// @brief Starts as a standby.
-    /// @param self this node's record; only name and strength are read
-    explicit entry_duty(const node_record& self);
+    /// @param self this node's record; its name, zone and strength are read
+    /// @param zone_count availability zones of the fleet; at least 1
+    entry_duty(const node_record& self, std::size_t zone_count);
 
     /// @brief Decides again.
     /// @param others the other entries that run
@@ -49,7 +52,9 @@
     [[nodiscard]] base::duration join_delay() const;
 
     std::string name;
+    std::string zone;
     unsigned millicores;
+    std::size_t zone_count;
     bool is_on = false;
     bool was_entry = false;
     /// Since when the opposite of the present state has been right.
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include <core/base/hash.hpp>
+
 namespace hawthornrelay::core::relay
 {
 
@@ -218,6 +220,30 @@
     return result;
 }
 
+std::string node_directory::referral_for(const node_record& asking,
+                                         time_point now) const
+{
+    if (asking.zone == this->own.zone)
+    {
+        return {};
+    }
+    auto near = this->running_entries(now);
+    const auto others = this->heard(now);
+    near.insert(near.end(), others.begin(), others.end());
+    std::erase_if(near,
+                  [&](const node_record& node)
+                  {
+                      return node.zone != asking.zone || !node.is_ready ||
+                             node.is_stopping || node.name == asking.name;
+                  });
+    if (near.empty())
+    {
+        return {};
+    }
+    const auto chosen = base::hash_of(asking.name, asking.run) % near.size();
+    return near[chosen].peers;
+}
+
 std::vector<node_record> node_directory::to_tell() const
 {
     std::vector<node_record> result;
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -71,6 +71,14 @@
     [[nodiscard]] std::vector<node_record>
     running_entries(base::time_point now) const;
 
+    /// @brief A ready node in the zone of one that starts, for it to read from.
+    /// @param asking the node that starts
+    /// @param now the current time
+    /// @return its `ip:port` for other nodes; empty if there is none, or if
+    ///         this node is in that zone itself
+    [[nodiscard]] std::string referral_for(const node_record& asking,
+                                           base::time_point now) const;
+
     /// @brief Nodes to tell about this one: for an entry all other entries,
     ///        for a standby the entries of its own zone.
     [[nodiscard]] std::vector<node_record> to_tell() const;
--- a/src/core/relay/node_record.hpp
+++ b/src/core/relay/node_record.hpp
@@ -24,6 +24,7 @@
     bool is_ready = false;      ///< it has a configuration
     bool reads_store = false;   ///< it follows the store itself
     bool wants_reply = false;   ///< it asks the receiver for its own record
+    std::string referral;       ///< in a reply: `ip:port` of a nearer node
     base::duration store_age{}; ///< since it knew the store's state
 };
 
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -28,6 +28,7 @@
 {
     std::string node_name;
     std::string zone;
+    std::size_t zone_count = 1; ///< availability zones of the fleet
     unsigned millicores = 1000; ///< thousandths of a core that the VM gives
     socket_address callers;     ///< where requests arrive
     socket_address readiness;   ///< where the platform asks for readiness
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -184,8 +184,8 @@
     return why == reason::hedge ? hedge_part : 1.0;
 }
 
-std::vector<replica_ptr>
-request_run::candidates_again(const part_state& part, reason why) const
+std::vector<replica_ptr> request_run::candidates_again(const part_state& part,
+                                                       reason why) const
 {
     std::size_t runs = 0;
     std::set<const replica*> tried;
@@ -213,8 +213,8 @@
     {
         return {};
     }
-    auto result = this->engine.registry.usable(part.service,
-                                               this->engine.runtime.now());
+    auto result =
+        this->engine.registry.usable(part.service, this->engine.runtime.now());
     std::erase_if(result,
                   [&](const replica_ptr& candidate)
                   {
--- a/src/core/relay/source_choice.cpp
+++ b/src/core/relay/source_choice.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <tuple>
+
+#include <core/base/hash.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -108,10 +111,11 @@
     }
     const auto rank = [&](const node_record& node)
     {
-        // Staying with a source saves a connection; one of the own zone saves
-        // bytes between zones.
-        return (node.zone == self.zone ? 0 : 2) +
-               (node.name == following ? 0 : 1);
+        // One of the own zone saves bytes between zones, staying with a source
+        // a connection; otherwise followers spread over the sources.
+        return std::tuple(node.zone != self.zone,
+                          node.name != following,
+                          base::hash_of(node.name, base::hash_of(self.name)));
     };
     return std::min_element(
                sources.begin(),
--- a/tests/relay/test_relay_parts.cpp
+++ b/tests/relay/test_relay_parts.cpp
@@ -358,6 +358,23 @@
     BOOST_TEST(nodes.usable(begin + 900ms).front().callers == "b:3");
 }
 
+BOOST_AUTO_TEST_CASE(who_starts_is_referred_to_a_node_of_its_zone)
+{
+    node_directory nodes(node("seed", "x"));
+    auto near = node("b", "y");
+    near.is_entry = false;
+    nodes.on_heard(near, begin);
+    nodes.on_heard(node("c", "z"), begin);
+    auto starting = node("d", "y");
+    starting.is_ready = false;
+    nodes.on_heard(starting, begin);
+    BOOST_TEST(nodes.referral_for(starting, begin) == "b:2");
+    starting.zone = "x"; // the seed itself is near
+    BOOST_TEST(nodes.referral_for(starting, begin).empty());
+    starting.zone = "v";
+    BOOST_TEST(nodes.referral_for(starting, begin).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_node_that_hears_nobody_names_the_listed)
 {
     node_directory nodes(node("a", "z"));
@@ -448,6 +465,20 @@
     BOOST_TEST(!choose_source(self, true, {node("b", "y")}, ""));
 }
 
+BOOST_AUTO_TEST_CASE(standbys_spread_over_the_entries_of_their_zone)
+{
+    std::map<std::string, int> followers;
+    for (int i = 0; i < 60; ++i)
+    {
+        auto self = node("s" + std::to_string(i), "y");
+        self.is_entry = false;
+        ++followers[*choose_source(
+            self, true, {node("a", "y"), node("b", "y"), node("c", "x")}, "")];
+    }
+    BOOST_TEST(followers["a"] >= 20);
+    BOOST_TEST(followers["b"] >= 20);
+}
+
 BOOST_AUTO_TEST_CASE(stale_readers_are_not_followed_while_the_store_answers)
 {
     auto reader = node("a", "x");
@@ -474,11 +505,13 @@
 {
     static constexpr duration seen_after = 400ms;
 
+    /// Adds a node to the next of four zones.
     void add(const std::string& name, unsigned millicores)
     {
-        auto record = node(name, "z");
+        const auto zone = "z" + std::to_string(this->duties.size() % 4);
+        auto record = node(name, zone);
         record.millicores = millicores;
-        this->duties.emplace(name, entry_duty(record));
+        this->duties.emplace(name, entry_duty(record, 4));
         this->records[name] = record;
     }
 
@@ -583,11 +616,20 @@
     }
     fleet.run_for(180s);
     BOOST_TEST(fleet.count(250) == 16U);
+    std::map<std::string, int> by_zone;
+    for (const auto& item : fleet.since)
+    {
+        ++by_zone[fleet.records.at(item.first).zone];
+    }
+    for (const auto& item : by_zone)
+    {
+        BOOST_TEST(item.second == 4);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_restarts_serves_at_once)
 {
-    entry_duty duty(node("a", "z"));
+    entry_duty duty(node("a", "z"), 4);
     duty.resume();
     BOOST_TEST(duty.update({}, true, begin));
 }
--- a/tests/unit/test_edges.cpp
+++ b/tests/unit/test_edges.cpp
@@ -12,6 +12,7 @@
 #include <adapters/api/body.hpp>
 #include <adapters/crypto/digest.hpp>
 #include <adapters/peer/codec.hpp>
+#include <adapters/relay/compression.hpp>
 #include <adapters/settings/settings.hpp>
 #include <core/base/log_event.hpp>
 
@@ -186,6 +187,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(pages_between_nodes)
+
+BOOST_AUTO_TEST_CASE(text_survives_compression)
+{
+    BOOST_TEST(rc::check(
+        [](const std::string& text)
+        {
+            const auto back =
+                adapters::relay::decompress(adapters::relay::compress(text));
+            RC_ASSERT(back.has_value() && *back == text);
+        }));
+    std::string listing;
+    for (int i = 0; i < 1000; ++i)
+    {
+        listing += R"({"service":"s","state":"ready","sequence":)" +
+                   std::to_string(i) + "}";
+    }
+    BOOST_TEST(adapters::relay::compress(listing).size() * 5 < listing.size());
+}
+
+BOOST_AUTO_TEST_CASE(mutated_pages_are_refused_or_read)
+{
+    std::mt19937 random(4);
+    const auto page = adapters::relay::compress(std::string(5000, 'a') + "b");
+    for (int i = 0; i < 2000; ++i)
+    {
+        const auto plain = adapters::relay::decompress(mutate(page, random));
+        const bool is_numbered =
+            plain || plain.error().code == result_code::frame_malformed ||
+            plain.error().code == result_code::frame_too_large;
+        BOOST_TEST(is_numbered);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(bodies)
 
 BOOST_AUTO_TEST_CASE(a_query_is_read)
