--- a/tests/soak/program.hpp
+++ b/tests/soak/program.hpp
@@ -200,7 +200,8 @@
             out << "  - \"" << seed << ":8106\"\n";
         }
         out << "bootstrap: " << (is_first ? "true" : "false")
-            << "\nlimits: {cpuShare: 0.25, cpuCores: 1}\nplatform:\n  address: "
+            << "\nzones: {north: region, south: region, west: region}\n"
+               "limits: {cpuShare: 0.25, cpuCores: 1}\nplatform:\n  address: "
                "\""
             << this->store << "\"\n  minTtlMs: 1000\nbounds:\n"
             << "  gracePeriodS: 6\n  ttl_max_s: 5\n  retryBudgetRatio: 0.2\n"
