Notice zones that are lost or cut off, and name entries beyond the cut

Change: the replicas of a zone whose entries all fell silent are checked at once. An entry that most replicas of other zones do not answer says so and is not named while others can be; a search that cannot reach its minimum of shards is refused at once as not run. Entries tell standbys which others they do not hear.

--- a/src/adapters/relay/beacon.cpp
+++ b/src/adapters/relay/beacon.cpp
@@ -83,6 +83,11 @@
         return;
     }
     flatbuffers::FlatBufferBuilder builder(256);
+    std::vector<flatbuffers::Offset<flatbuffers::String>> silent;
+    for (const auto& name : self.silent_entries)
+    {
+        silent.push_back(builder.CreateString(name));
+    }
     builder.Finish(schemas::CreateBeaconDirect(builder,
                                                self.name.c_str(),
                                                self.run,
@@ -96,7 +101,9 @@
                                                self.millicores,
                                                self.is_entry,
                                                self.wants_reply,
-                                               self.referral.c_str()));
+                                               self.referral.c_str(),
+                                               &silent,
+                                               self.is_cut_off));
     boost::system::error_code ignored;
     this->socket.send_to(
         boost::asio::buffer(builder.GetBufferPointer(), builder.GetSize()),
@@ -145,7 +152,15 @@
     record.millicores = message->millicores();
     record.is_entry = message->entry();
     record.wants_reply = message->asks();
+    record.is_cut_off = message->cut_off();
     record.referral = text(message->referral());
+    if (const auto* silent = message->silent(); silent != nullptr)
+    {
+        for (const auto* name : *silent)
+        {
+            record.silent_entries.push_back(name->str());
+        }
+    }
     if (!record.name.empty())
     {
         this->on_heard(record);
--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -147,6 +147,10 @@
         this->update_self();
         auto reply = this->nodes.self();
         reply.wants_reply = false;
+        if (reply.is_entry)
+        {
+            reply.silent_entries = this->nodes.silent_entries(now);
+        }
         if (!record.is_ready)
         {
             reply.referral = this->nodes.referral_for(record, now);
@@ -212,6 +216,7 @@
     self.is_stopping = this->is_stopping;
     self.is_ready = !this->is_stopping && this->outside.is_ready();
     self.is_entry = this->duty.is_entry();
+    self.is_cut_off = self.is_entry && this->outside.is_cut_off();
     self.wants_reply = !self.is_entry;
     self.reads_store = this->source.reads_store();
     // A renewed lease shows that the path to the store is whole.
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -40,6 +40,8 @@
         core::relay::store_follower& follower;
         /// Tells whether this node could serve a caller.
         std::function<bool()> is_ready;
+        /// Tells whether most replicas of other zones do not answer.
+        std::function<bool()> is_cut_off;
         /// Called when the store begins to miss or refuse calls.
         std::function<void()> on_store_lost;
     };
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -99,6 +99,11 @@
                  {
                      return this->is_ready();
                  },
+                 .is_cut_off =
+                     [this]
+                 {
+                     return this->is_cut_off;
+                 },
                  .on_store_lost =
                      [this]
                  {
@@ -154,6 +159,7 @@
     void share_bounds();
     void upkeep();
     void keep_connections();
+    void note_cut(std::size_t far, std::size_t unreachable);
     void check_suspect(const core::relay::replica_ptr& target);
     void serve_caller(http::request message, const http::responder& respond);
     void serve_directory(const http::request& message,
@@ -178,6 +184,9 @@
     membership fleet;
     store_view view;
     bool is_feed_due = false;
+    bool is_cut_off = false;
+    std::set<std::string> silent_zones;
+    std::size_t directory_answers = 0;
     std::unique_ptr<http::server> callers;
     std::unique_ptr<http::server> readiness;
     std::unique_ptr<http::server> directory;
@@ -376,6 +385,11 @@
 
 void node::keep_connections()
 {
+    // Checked at once, replicas of a lost zone need not fail requests first.
+    const auto silent = this->fleet.nodes.silent_zones(this->runtime.now());
+    const auto known = std::exchange(this->silent_zones, silent);
+    std::size_t far = 0;
+    std::size_t unreachable = 0;
     const auto& config = this->engine.configuration_in_force();
     for (const auto& listed : this->engine.registry.all())
     {
@@ -388,6 +402,16 @@
         {
             continue;
         }
+        const auto& zone = target->record.zone;
+        if (zone != this->settings.zone)
+        {
+            ++far;
+            unreachable += target->health.is_unreachable() ? 1 : 0;
+        }
+        if (silent.contains(zone) && !known.contains(zone))
+        {
+            this->engine.check(target);
+        }
         if (target->health.is_suspect())
         {
             this->check_suspect(target);
@@ -402,6 +426,19 @@
             this->pool.keep_warm(target);
         }
     }
+    this->note_cut(far, unreachable);
+}
+
+void node::note_cut(std::size_t far, std::size_t unreachable)
+{
+    const bool is_cut = unreachable * 2 > far;
+    if (is_cut != this->is_cut_off)
+    {
+        this->is_cut_off = is_cut;
+        this->log.write(is_cut ? log_event::cut_off : log_event::cut_healed,
+                        {{"replicas", std::to_string(far)},
+                         {"unreachable", std::to_string(unreachable)}});
+    }
 }
 
 void node::check_suspect(const core::relay::replica_ptr& target)
@@ -456,7 +493,9 @@
     this->engine.counters.add(relay_counter::directory_answers);
     std::vector<std::string> addresses;
     const auto usable = core::relay::choose_entries(
-        this->fleet.nodes.usable(this->runtime.now()), question->zone);
+        this->fleet.nodes.usable(this->runtime.now()),
+        question->zone,
+        this->directory_answers++);
     addresses.reserve(usable.size());
     for (const auto& item : usable)
     {
--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -227,8 +227,11 @@
                    [done, timer](const ports::send_outcome& outcome)
                    {
                        timer->cancel();
-                       done({outcome.result == send_result::answered &&
-                                 outcome.answer.status == 200,
+                       const bool has_answered =
+                           outcome.result == send_result::answered ||
+                           outcome.result == send_result::shed;
+                       done({has_answered,
+                             has_answered && outcome.answer.status == 200,
                              outcome.cold_for});
                    });
     timer->expires_after(probe_timeout);
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -83,6 +83,8 @@
     node_silent = 1044,
     entry_joined = 1045,
     entry_left = 1046,
+    cut_off = 1047,
+    cut_healed = 1048,
     request_answered = 1051,
     send_failed = 1052,
     caller_gone = 1053,
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -21,6 +21,9 @@
 /// The same for a standby, which asks less often.
 constexpr std::chrono::milliseconds silence_for_standby{2000};
 
+/// Entries that one message reports silent; they must fit into a datagram.
+constexpr std::size_t most_reported = 32;
+
 /// A node that has just been listed may not have been heard yet.
 constexpr std::chrono::milliseconds first_word{1000};
 
@@ -97,6 +100,17 @@
     item.was_heard = true;
     item.heard_at = now;
     this->note_entry(item, now);
+    if (record.is_entry && !record.is_cut_off)
+    {
+        for (const auto& name : record.silent_entries)
+        {
+            const auto found = this->entries.find(name);
+            if (found != this->entries.end())
+            {
+                found->second.reported_silent_at = now;
+            }
+        }
+    }
     return was_silent;
 }
 
@@ -164,7 +178,14 @@
     }
     const bool is_starting =
         item.is_listed && !item.was_heard && now - item.listed_at < first_word;
-    return is_starting || (item.is_listed && !this->is_in_touch(item));
+    if (this->is_in_touch(item))
+    {
+        return is_starting;
+    }
+    const bool is_reported_silent =
+        item.reported_silent_at != time_point{} &&
+        now - item.reported_silent_at < silence_for_standby;
+    return item.is_listed && !is_reported_silent;
 }
 
 std::vector<node_record> node_directory::running_entries(time_point now) const
@@ -198,11 +219,25 @@
         listed.push_back(this->own);
     }
     // A node that hears nobody is cut off itself; the list is better then.
-    const bool is_cut_off = result.size() <= 1 && listed.size() > 2;
-    if (is_cut_off)
+    const bool hears_nobody = result.size() <= 1 && listed.size() > 2;
+    if (hears_nobody)
     {
         return listed;
     }
+    const auto is_cut_off = [](const node_record& node)
+    {
+        return node.is_cut_off;
+    };
+    const bool are_all_cut_off =
+        !result.empty() &&
+        std::all_of(result.begin(), result.end(), is_cut_off);
+    if (are_all_cut_off)
+    {
+        // Callers may still reach the entries beyond the cut.
+        std::erase_if(listed, is_cut_off);
+        return listed.empty() ? result : listed;
+    }
+    std::erase_if(result, is_cut_off);
     if (result.empty())
     {
         for (const auto& node : this->heard(now))
@@ -220,6 +255,28 @@
     return result;
 }
 
+std::set<std::string> node_directory::silent_zones(time_point now) const
+{
+    std::set<std::string> silent;
+    std::set<std::string> heard;
+    for (const auto& [name, item] : this->entries)
+    {
+        if (item.record.is_entry && item.was_heard)
+        {
+            (this->is_heard(item, now) ? heard : silent)
+                .insert(item.record.zone);
+        }
+    }
+    heard.insert(this->own.zone);
+    std::set<std::string> result;
+    std::set_difference(silent.begin(),
+                        silent.end(),
+                        heard.begin(),
+                        heard.end(),
+                        std::inserter(result, result.end()));
+    return result;
+}
+
 std::string node_directory::referral_for(const node_record& asking,
                                          time_point now) const
 {
@@ -244,6 +301,28 @@
     return near[chosen].peers;
 }
 
+std::vector<std::string> node_directory::silent_entries(time_point now) const
+{
+    std::vector<std::string> result;
+    std::size_t heard = 0;
+    for (const auto& [name, item] : this->entries)
+    {
+        const bool is_known =
+            item.is_listed && item.record.is_entry && item.was_heard;
+        if (is_known && this->is_heard(item, now))
+        {
+            ++heard;
+        }
+        else if (is_known && result.size() < most_reported)
+        {
+            result.push_back(name);
+        }
+    }
+    // An entry that hears nobody of several is cut off itself.
+    return heard == 0 && result.size() > 1 ? std::vector<std::string>()
+                                           : result;
+}
+
 std::vector<node_record> node_directory::to_tell() const
 {
     std::vector<node_record> result;
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,10 @@
     [[nodiscard]] std::vector<node_record>
     running_entries(base::time_point now) const;
 
+    /// @brief Zones of which no entry is heard any more: lost, or cut off.
+    [[nodiscard]] std::set<std::string>
+    silent_zones(base::time_point now) const;
+
     /// @brief A ready node in the zone of one that starts, for it to read from.
     /// @param asking the node that starts
     /// @param now the current time
@@ -79,6 +84,11 @@
     [[nodiscard]] std::string referral_for(const node_record& asking,
                                            base::time_point now) const;
 
+    /// @brief Entries that are listed and were heard, but not lately; what an
+    ///        entry tells standbys, which do not hear all entries.
+    [[nodiscard]] std::vector<std::string>
+    silent_entries(base::time_point now) const;
+
     /// @brief Nodes to tell about this one: for an entry all other entries,
     ///        for a standby the entries of its own zone.
     [[nodiscard]] std::vector<node_record> to_tell() const;
@@ -97,6 +107,7 @@
         base::time_point heard_at{};
         bool was_heard = false;
         bool is_silent = false;
+        base::time_point reported_silent_at{}; ///< by an entry
         base::time_point ended_at{}; ///< when it was last known as an entry
     };
 
--- a/src/core/relay/node_record.hpp
+++ b/src/core/relay/node_record.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <core/base/time.hpp>
 
@@ -21,10 +22,13 @@
     unsigned millicores = 1000; ///< processor time of its VM
     bool is_entry = false;      ///< callers are sent to it
     bool is_stopping = false;
-    bool is_ready = false;      ///< it has a configuration
-    bool reads_store = false;   ///< it follows the store itself
-    bool wants_reply = false;   ///< it asks the receiver for its own record
-    std::string referral;       ///< in a reply: `ip:port` of a nearer node
+    bool is_ready = false;    ///< it has a configuration
+    bool is_cut_off = false;  ///< most replicas of other zones do not answer
+    bool reads_store = false; ///< it follows the store itself
+    bool wants_reply = false; ///< it asks the receiver for its own record
+    std::string referral;     ///< in a reply: `ip:port` of a nearer node
+    /// In a reply: entries that are listed but that the node does not hear.
+    std::vector<std::string> silent_entries;
     base::duration store_age{}; ///< since it knew the store's state
 };
 
--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -71,6 +71,7 @@
     if (result == send_result::answered)
     {
         this->slowness.add(slowness, now);
+        this->has_failed_check = false;
     }
 }
 
@@ -80,14 +81,18 @@
     this->busy_at = now;
 }
 
-void replica_health::on_probe_ok()
+void replica_health::on_check(bool has_answered, bool is_healthy)
 {
-    this->failures_in_a_row = 0;
+    this->has_failed_check = !has_answered;
+    if (is_healthy)
+    {
+        this->failures_in_a_row = 0;
+    }
 }
 
 bool replica_health::is_suspect() const
 {
-    return this->failures_in_a_row >= suspect_after;
+    return this->has_failed_check || this->failures_in_a_row >= suspect_after;
 }
 
 double replica_health::cost(double distance, time_point now) const
--- a/src/core/relay/replica_health.hpp
+++ b/src/core/relay/replica_health.hpp
@@ -67,12 +67,22 @@
     /// @param busy_share (running + waiting) / slots
     void on_load(double busy_share, base::time_point now);
 
-    /// @brief Notes that a health check succeeded.
-    void on_probe_ok();
+    /// @brief Notes the outcome of a health check. What a replica says of
+    ///        itself may be wrong; that it says something shows that it runs.
+    /// @param has_answered whether an answer came
+    /// @param is_healthy whether it said that the replica is well
+    void on_check(bool has_answered, bool is_healthy);
 
     /// @brief Tells whether the replica is taken to be down.
     [[nodiscard]] bool is_suspect() const;
 
+    /// @brief Tells whether the replica did not answer its last health check,
+    ///        and has answered nothing since.
+    [[nodiscard]] bool is_unreachable() const
+    {
+        return this->has_failed_check;
+    }
+
     /// @brief The expected time of a request over the usual one; includes the
     ///        chance of failures.
     /// @param distance multiplies the time, for replicas that are far
@@ -89,6 +99,7 @@
     double busy_share = 0;
     base::time_point busy_at{};
     unsigned failures_in_a_row = 0;
+    bool has_failed_check = false;
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -185,13 +185,13 @@
         [this, target](const ports::health_report& found)
         {
             target->is_being_checked = false;
+            const bool was_suspect = target->health.is_suspect();
+            target->health.on_check(found.has_answered, found.is_healthy);
             if (!found.is_healthy)
             {
                 return;
             }
-            const bool was_suspect = target->health.is_suspect();
             target->may_be_cold = false;
-            target->health.on_probe_ok();
             if (found.cold_for)
             {
                 target->cold_until = this->runtime.now() + *found.cold_for;
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -92,8 +92,11 @@
     this->is_dispatching = true;
     this->send_all_parts();
     this->is_dispatching = false;
-    this->check_progress();
-    this->arm();
+    if (!this->is_finished)
+    {
+        this->check_progress();
+        this->arm();
+    }
 }
 
 void request_run::send_all_parts()
@@ -107,6 +110,12 @@
         targets.push_back(this->engine.choose(usable, this->hedge_delay()));
         part.is_failed = true;
     }
+    if (!this->are_enough_reachable(targets))
+    {
+        // Waiting would not help; another node may reach more.
+        this->fail(result_code::no_replica, "too many shards do not answer");
+        return;
+    }
     for (std::size_t i = 0; i < targets.size(); ++i)
     {
         if (targets[i] != nullptr)
@@ -117,6 +126,21 @@
     }
 }
 
+bool request_run::are_enough_reachable(
+    const std::vector<replica_ptr>& targets) const
+{
+    // The best replica of a service is unreachable only if all are.
+    const auto reachable = std::count_if(
+        targets.begin(),
+        targets.end(),
+        [](const replica_ptr& target)
+        {
+            return target != nullptr && !target->health.is_unreachable();
+        });
+    const auto needed = this->way->is_search() ? this->way->min_shards() : 1;
+    return static_cast<std::size_t>(reachable) >= needed;
+}
+
 bool request_run::select_route()
 {
     if (this->config == nullptr)
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -73,6 +73,8 @@
     void plan_times();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_all_parts();
+    [[nodiscard]] bool
+    are_enough_reachable(const std::vector<replica_ptr>& targets) const;
     bool send_again(std::size_t index, reason why);
     [[nodiscard]] std::vector<replica_ptr>
     candidates_again(const part_state& part, reason why) const;
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -53,6 +53,7 @@
 /// @brief What a health check found.
 struct health_report
 {
+    bool has_answered = false; ///< healthy or not
     bool is_healthy = false;
     std::optional<core::base::duration> cold_for; ///< it said that it is cold
 };
