Contain requests that crash the replicas that run them

Cause: on the relay's path such a request crashed two replicas in each attempt, on any node, as often as it came; the ledger of the project's own interface was not used there (docs/PROMISES.md, not proved).

Change: core/relay/crash_watch. A broken send counts as a crash when the health check that follows gets no answer, so lost answers do not count. A request with one such attempt is not sent to a second replica after a break; one with two is refused as not run for two minutes. It is known by method, host, path, body and caller, so that another node knows it too; beacons carry the records.

Also: a failed health check counts for a second only. A standby repeats none, and a replica that failed one was left out there for good (test replicas_that_nobody_checks_again_are_tried).

--- a/src/adapters/http/message.hpp
+++ b/src/adapters/http/message.hpp
@@ -30,6 +30,7 @@
     // Set by the server only.
     field_list fields;          ///< all header fields, unchanged
     std::uint64_t exchange = 0; ///< number for server_handlers::on_caller_gone
+    std::string caller;         ///< IP address of the other end
     std::chrono::microseconds round_trip{0}; ///< to the caller; 0: unknown
 };
 
--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -174,6 +174,9 @@
     void start()
     {
         asio::disable_nagle(this->socket);
+        beast::error_code unknown;
+        const auto remote = this->socket.remote_endpoint(unknown);
+        this->caller = unknown ? "" : remote.address().to_string();
         const auto delay = this->owner->handlers.accept_delay
                                ? this->owner->handlers.accept_delay()
                                : std::chrono::milliseconds(0);
@@ -405,6 +408,7 @@
         auto incoming = to_request(std::move(message));
         incoming.exchange = this->exchange;
         incoming.round_trip = round_trip_of(this->socket);
+        incoming.caller = this->caller;
         this->is_continued = false;
         this->read();
         this->owner->handlers.on_request(
@@ -515,6 +519,7 @@
     beast::flat_buffer buffer;
     std::optional<bhttp::request_parser<bhttp::string_body>> parser;
     beast_server* owner;
+    std::string caller; ///< IP address; empty if the connection is gone
     state current = state::idle;
     std::uint64_t exchange = 0;
     bool is_reading = false;
--- a/src/adapters/relay/beacon.cpp
+++ b/src/adapters/relay/beacon.cpp
@@ -24,13 +24,12 @@
     return from == nullptr ? std::string() : from->str();
 }
 
-std::uint32_t store_age_ms(const core::relay::node_record& record)
+std::uint32_t age_ms(core::base::duration age)
 {
-    const auto age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(record.store_age);
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(age);
     return static_cast<std::uint32_t>(
         std::clamp<std::chrono::milliseconds::rep>(
-            age.count(), 0, std::numeric_limits<std::int32_t>::max()));
+            ms.count(), 0, std::numeric_limits<std::int32_t>::max()));
 }
 
 core::base::result<udp::endpoint> parse(const std::string& address)
@@ -88,6 +87,11 @@
     {
         silent.push_back(builder.CreateString(name));
     }
+    std::vector<schemas::Crash> crashes;
+    for (const auto& crash : self.crashes)
+    {
+        crashes.emplace_back(crash.request, crash.event, age_ms(crash.age));
+    }
     builder.Finish(schemas::CreateBeaconDirect(builder,
                                                self.name.c_str(),
                                                self.run,
@@ -97,13 +101,14 @@
                                                self.is_stopping,
                                                self.is_ready,
                                                self.reads_store,
-                                               store_age_ms(self),
+                                               age_ms(self.store_age),
                                                self.millicores,
                                                self.is_entry,
                                                self.wants_reply,
                                                self.referral.c_str(),
                                                &silent,
-                                               self.is_cut_off));
+                                               self.is_cut_off,
+                                               &crashes));
     boost::system::error_code ignored;
     this->socket.send_to(
         boost::asio::buffer(builder.GetBufferPointer(), builder.GetSize()),
@@ -161,6 +166,17 @@
             record.silent_entries.push_back(name->str());
         }
     }
+    if (const auto* crashes = message->crashes(); crashes != nullptr)
+    {
+        for (const auto* crash : *crashes)
+        {
+            record.crashes.push_back(
+                {crash->request(),
+                 {},
+                 crash->attempt(),
+                 std::chrono::milliseconds(crash->age_ms())});
+        }
+    }
     if (!record.name.empty())
     {
         this->on_heard(record);
--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -142,6 +142,7 @@
     {
         this->outside.log.write(log_event::node_heard, {{"peer", record.name}});
     }
+    this->outside.on_crashes(record.crashes);
     if (record.wants_reply)
     {
         this->update_self();
@@ -218,6 +219,7 @@
     self.is_entry = this->duty.is_entry();
     self.is_cut_off = self.is_entry && this->outside.is_cut_off();
     self.wants_reply = !self.is_entry;
+    self.crashes = this->outside.crashes_to_tell();
     self.reads_store = this->source.reads_store();
     // A renewed lease shows that the path to the store is whole.
     const auto known_at = std::max(this->outside.follower.answered_at(),
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -42,6 +42,11 @@
         std::function<bool()> is_ready;
         /// Tells whether most replicas of other zones do not answer.
         std::function<bool()> is_cut_off;
+        /// Attempts that crashed replicas: to tell other nodes, and heard.
+        std::function<std::vector<core::messages::crash_record>()>
+            crashes_to_tell;
+        std::function<void(const std::vector<core::messages::crash_record>&)>
+            on_crashes;
         /// Called when the store begins to miss or refuse calls.
         std::function<void()> on_store_lost;
     };
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -104,6 +104,16 @@
                  {
                      return this->is_cut_off;
                  },
+                 .crashes_to_tell =
+                     [this]
+                 {
+                     return this->engine.crashes_to_tell();
+                 },
+                 .on_crashes =
+                     [this](const std::vector<core::messages::crash_record>& of)
+                 {
+                     this->engine.merge_crashes(of);
+                 },
                  .on_store_lost =
                      [this]
                  {
@@ -386,7 +396,8 @@
 void node::keep_connections()
 {
     // Checked at once, replicas of a lost zone need not fail requests first.
-    const auto silent = this->fleet.nodes.silent_zones(this->runtime.now());
+    const auto now = this->runtime.now();
+    const auto silent = this->fleet.nodes.silent_zones(now);
     const auto known = std::exchange(this->silent_zones, silent);
     std::size_t far = 0;
     std::size_t unreachable = 0;
@@ -406,7 +417,7 @@
         if (zone != this->settings.zone)
         {
             ++far;
-            unreachable += target->health.is_unreachable() ? 1 : 0;
+            unreachable += target->health.is_unreachable(now) ? 1 : 0;
         }
         if (silent.contains(zone) && !known.contains(zone))
         {
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -103,6 +103,9 @@
     event_row{log_event::caller_gone, "caller_gone", log_level::info},
     event_row{log_event::sent_again, "sent_again", log_level::info},
     event_row{log_event::send_withheld, "send_withheld", log_level::info},
+    event_row{log_event::crash_found, "crash_found", log_level::warning},
+    event_row{
+        log_event::request_contained, "request_contained", log_level::warning},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -90,6 +90,8 @@
     caller_gone = 1053,
     sent_again = 1054,
     send_withheld = 1055,
+    crash_found = 1056,
+    request_contained = 1057,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -25,6 +25,10 @@
 /// Failures without a success in between that make a replica suspect.
 constexpr unsigned suspect_after = 2;
 
+/// A node that keeps connections repeats the check of a suspect replica within
+/// this time; where nobody repeats it, the replica is tried by a request.
+constexpr std::chrono::seconds check_validity{1};
+
 /// Cost of one request that waits at the replica, over the usual time.
 constexpr double cost_of_waiting = 0.5;
 
@@ -81,9 +85,12 @@
     this->busy_at = now;
 }
 
-void replica_health::on_check(bool has_answered, bool is_healthy)
+void replica_health::on_check(bool has_answered,
+                              bool is_healthy,
+                              time_point now)
 {
     this->has_failed_check = !has_answered;
+    this->checked_at = now;
     if (is_healthy)
     {
         this->failures_in_a_row = 0;
@@ -95,6 +102,11 @@
     return this->has_failed_check || this->failures_in_a_row >= suspect_after;
 }
 
+bool replica_health::is_unreachable(time_point now) const
+{
+    return this->has_failed_check && now - this->checked_at < check_validity;
+}
+
 double replica_health::cost(double distance, time_point now) const
 {
     const double load =
--- a/src/core/relay/replica_health.hpp
+++ b/src/core/relay/replica_health.hpp
@@ -71,17 +71,15 @@
     ///        itself may be wrong; that it says something shows that it runs.
     /// @param has_answered whether an answer came
     /// @param is_healthy whether it said that the replica is well
-    void on_check(bool has_answered, bool is_healthy);
+    /// @param now the current time
+    void on_check(bool has_answered, bool is_healthy, base::time_point now);
 
     /// @brief Tells whether the replica is taken to be down.
     [[nodiscard]] bool is_suspect() const;
 
-    /// @brief Tells whether the replica did not answer its last health check,
+    /// @brief Tells whether the replica did not answer a recent health check,
     ///        and has answered nothing since.
-    [[nodiscard]] bool is_unreachable() const
-    {
-        return this->has_failed_check;
-    }
+    [[nodiscard]] bool is_unreachable(base::time_point now) const;
 
     /// @brief The expected time of a request over the usual one; includes the
     ///        chance of failures.
@@ -100,6 +98,7 @@
     base::time_point busy_at{};
     unsigned failures_in_a_row = 0;
     bool has_failed_check = false;
+    base::time_point checked_at{};
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -180,13 +180,16 @@
         return;
     }
     target->is_being_checked = true;
+    const auto asked_at = this->runtime.now();
     this->transport.check(
         target,
-        [this, target](const ports::health_report& found)
+        [this, target, asked_at](const ports::health_report& found)
         {
             target->is_being_checked = false;
+            this->note_check(target, found.has_answered, asked_at);
             const bool was_suspect = target->health.is_suspect();
-            target->health.on_check(found.has_answered, found.is_healthy);
+            target->health.on_check(
+                found.has_answered, found.is_healthy, this->runtime.now());
             if (!found.is_healthy)
             {
                 return;
@@ -205,6 +208,51 @@
         });
 }
 
+void request_engine::on_broken(const replica_ptr& target,
+                               base::fingerprint request,
+                               const std::string& attempt)
+{
+    this->crashes.on_broken(
+        target->record.id, request, attempt, this->runtime.now());
+    this->check(target);
+}
+
+void request_engine::note_check(const replica_ptr& target,
+                                bool has_answered,
+                                time_point asked_at)
+{
+    const auto& id = target->record.id;
+    const auto now = this->runtime.now();
+    for (const auto request :
+         this->crashes.on_check(id, has_answered, asked_at, now))
+    {
+        this->log.write(
+            base::log_event::crash_found,
+            {{"replica", id},
+             {"fingerprint", std::to_string(request)},
+             {"attempts",
+              std::to_string(this->crashes.attempts_of(request, now))}});
+    }
+    if (this->crashes.has_suspicion(id))
+    {
+        // Broke while the check was under way.
+        this->check(target);
+    }
+}
+
+void request_engine::merge_crashes(
+    const std::vector<messages::crash_record>& records)
+{
+    this->crashes.merge(records, this->runtime.now());
+}
+
+std::vector<messages::crash_record> request_engine::crashes_to_tell()
+{
+    const auto now = this->runtime.now();
+    this->crashes.expire(now);
+    return this->crashes.to_tell(now);
+}
+
 bool request_engine::admit_cold(replica& target, time_point now)
 {
     const double rate = this->cold_rate(target);
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -13,6 +13,7 @@
 #include <core/base/time.hpp>
 #include <core/dispatch/latency_window.hpp>
 #include <core/relay/configuration.hpp>
+#include <core/relay/crash_watch.hpp>
 #include <core/relay/extra_budget.hpp>
 #include <core/relay/relay_counters.hpp>
 #include <core/relay/replica_registry.hpp>
@@ -38,6 +39,7 @@
 struct caller_request
 {
     std::shared_ptr<const ports::forwarded_request> message;
+    std::string caller;          ///< IP address of the caller
     base::duration time_left{};  ///< how long the caller waits from now on
     base::duration round_trip{}; ///< to the caller and back
 };
@@ -106,6 +108,12 @@
     /// @brief Asks a replica for its health, unless it is being asked.
     void check(const replica_ptr& target);
 
+    /// @brief Takes crashes that another node knows of.
+    void merge_crashes(const std::vector<messages::crash_record>& records);
+
+    /// @brief Crashes that other nodes should know of.
+    [[nodiscard]] std::vector<messages::crash_record> crashes_to_tell();
+
     /// @brief Requests without an answer.
     [[nodiscard]] std::size_t active() const
     {
@@ -124,6 +132,12 @@
     /// @return the replica, or nullptr when none may be used
     replica_ptr choose(const std::vector<replica_ptr>& candidates,
                        base::duration usual);
+    void on_broken(const replica_ptr& target,
+                   base::fingerprint request,
+                   const std::string& attempt);
+    void note_check(const replica_ptr& target,
+                    bool has_answered,
+                    base::time_point asked_at);
     bool admit_cold(replica& target, base::time_point now);
     [[nodiscard]] double cold_rate(const replica& target) const;
     void forget(std::uint64_t request);
@@ -134,6 +148,7 @@
     ports::event_log& log;
     configuration_ptr config;
     extra_budget extras;
+    crash_watch crashes;
     unsigned entry_count = 1;
     bool is_entry = true;
     /// Of the parts of each route's requests.
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include <core/base/hash.hpp>
+
 namespace hawthornrelay::core::relay
 {
 
@@ -64,6 +66,10 @@
                promises.end();
 }
 
+/// Attempts that crashed replicas after which a request is refused. Two, since
+/// a request may run where another one crashes the replica.
+constexpr std::uint32_t crashing_attempts_to_refuse = 2;
+
 } // namespace
 
 request_run::request_run(request_engine& engine,
@@ -88,6 +94,10 @@
         this->fail(result_code::deadline_expired, "no time left");
         return;
     }
+    if (this->refuse_crashing())
+    {
+        return;
+    }
     this->plan_times();
     this->is_dispatching = true;
     this->send_all_parts();
@@ -130,13 +140,14 @@
     const std::vector<replica_ptr>& targets) const
 {
     // The best replica of a service is unreachable only if all are.
-    const auto reachable = std::count_if(
-        targets.begin(),
-        targets.end(),
-        [](const replica_ptr& target)
-        {
-            return target != nullptr && !target->health.is_unreachable();
-        });
+    const auto reachable =
+        std::count_if(targets.begin(),
+                      targets.end(),
+                      [this](const replica_ptr& target)
+                      {
+                          return target != nullptr &&
+                                 !target->health.is_unreachable(this->started);
+                      });
     const auto needed = this->way->is_search() ? this->way->min_shards() : 1;
     return static_cast<std::size_t>(reachable) >= needed;
 }
@@ -170,6 +181,40 @@
     return true;
 }
 
+base::fingerprint request_run::fingerprint() const
+{
+    const auto& message = *this->request.message;
+    return base::hash_of(
+        this->request.caller,
+        base::hash_of(
+            message.method,
+            base::fingerprint_of(message.host + message.target, message.body)));
+}
+
+bool request_run::refuse_crashing()
+{
+    auto& crashes = this->engine.crashes;
+    if (crashes.is_empty())
+    {
+        return false;
+    }
+    const auto request = this->fingerprint();
+    const auto attempts = crashes.attempts_of(request, this->started);
+    this->has_crashed_before = attempts > 0;
+    if (attempts < crashing_attempts_to_refuse)
+    {
+        return false;
+    }
+    this->engine.log.write(base::log_event::request_contained,
+                           {{"request", this->request.message->id},
+                            {"fingerprint", std::to_string(request)},
+                            {"attempts", std::to_string(attempts)}});
+    this->fail(result_code::request_quarantined,
+               "the request has crashed replicas in earlier attempts",
+               quarantine::quarantine_limits().remembered_for);
+    return true;
+}
+
 void request_run::plan_times()
 {
     const duration timeout = this->way->timeout;
@@ -233,7 +278,8 @@
     // when the answers of all of them were lost, one of them runs it again. Not
     // more often, since the request itself may crash them.
     const bool is_full = ran.size() >= this->way->max_replicas_per_attempt;
-    if (runs > this->way->max_replicas_per_attempt)
+    const bool may_crash_another = this->has_crashed_before && runs > 0;
+    if (runs > this->way->max_replicas_per_attempt || may_crash_another)
     {
         return {};
     }
@@ -466,6 +512,11 @@
                                 {"replica", entry.target->record.id},
                                 {"after_ms", ms_text(taken)},
                                 {"reason", outcome.detail}});
+        if (outcome.result == send_result::broken)
+        {
+            this->engine.on_broken(
+                entry.target, this->fingerprint(), this->request.message->id);
+        }
         const bool may_repeat = this->way->is_idempotent || !entry.may_have_run;
         const auto why = outcome.result == send_result::shed ? reason::shed
                          : entry.may_have_run                ? reason::failed
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -20,6 +20,9 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+/// Retry-After of refusals: a pause of a replica has ended by then.
+constexpr std::chrono::milliseconds retry_pause{20};
+
 /// @brief The state of one request: a part for each shard, or a single part.
 class request_run : public std::enable_shared_from_this<request_run>
 {
@@ -70,6 +73,9 @@
     };
 
     bool select_route();
+    /// Refuses a request that has crashed replicas in earlier attempts.
+    bool refuse_crashing();
+    [[nodiscard]] base::fingerprint fingerprint() const;
     void plan_times();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_all_parts();
@@ -101,7 +107,9 @@
     void arm();
     void answer_search();
     void answer_single(ports::replica_answer answer);
-    void fail(base::result_code code, std::string detail);
+    void fail(base::result_code code,
+              std::string detail,
+              base::duration retry_after = retry_pause);
     void finish(caller_answer answer);
     void release_pending(bool now);
     [[nodiscard]] std::string describe_stragglers() const;
@@ -118,6 +126,7 @@
     base::time_point deadline{};
     ports::timer_id timer = ports::no_timer;
     bool is_finished = false;
+    bool has_crashed_before = false; ///< replicas, in an earlier attempt
     bool is_dispatching = false;
 };
 
--- a/src/core/relay/request_run_end.cpp
+++ b/src/core/relay/request_run_end.cpp
@@ -20,9 +20,6 @@
 /// their connections; then they are reset.
 constexpr std::chrono::milliseconds gone_grace{300};
 
-/// Retry-After of refusals: a pause of a replica has ended by then.
-constexpr std::chrono::milliseconds retry_pause{20};
-
 } // namespace
 
 void request_run::answer_search()
@@ -57,14 +54,16 @@
     this->finish(std::move(answer));
 }
 
-void request_run::fail(result_code code, std::string detail)
+void request_run::fail(result_code code,
+                       std::string detail,
+                       duration retry_after)
 {
     caller_answer answer;
     answer.code = code;
     answer.detail = std::move(detail);
     // A send that may still arrive at a replica is no proof either.
     answer.is_not_run = !this->has_run_anywhere();
-    answer.retry_after = retry_pause;
+    answer.retry_after = retry_after;
     this->finish(std::move(answer));
 }
 
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -209,6 +209,28 @@
     BOOST_TEST((world.answers.at("after").code == result_code::ok));
 }
 
+BOOST_AUTO_TEST_CASE(replicas_that_nobody_checks_again_are_tried)
+{
+    relay_world world(
+        [](const relay::replica&, const std::string&)
+        {
+            return ok;
+        });
+    world.replicas.health = [](const relay::replica&)
+    {
+        return hawthornrelay::ports::health_report{};
+    };
+    for (const auto& item : world.engine.registry.all())
+    {
+        world.engine.check(item.second);
+    }
+    // A standby keeps no connections and repeats no checks.
+    world.loop.run_for(2s);
+    world.start("q", "/s/x");
+    world.loop.run_for(1s);
+    BOOST_TEST((world.answers.at("q").code == result_code::ok));
+}
+
 BOOST_AUTO_TEST_CASE(replicas_that_say_ill_but_answer_are_used)
 {
     relay_world world(
