Let answers clear a request of crashes; tell a request's story from the logs

Change: what counts is a crash without an answer since; crashes at about the same time count once; crashes have numbers, and a report that was read late does not make one younger; nodes do not tell of requests that were answered since.

Also found: a standby asked a replica that may be cold for its health only once, at the failed send, and sent it next to nothing from then on (test a_standby_finds_out_that_a_replica_is_warm, seen failing). A request that is not admitted asks again.

New: request_started (1050), a line for each routed request, and the command 'explain', which prints a request's lines in order, what its node knew before, and the cause. The test the_log_tells_why_a_request_failed names the three lines that it expects instead of counting two. The metric log_lines_dropped_total, which nothing counted, is gone; dropped_log_lines_total counts.

--- a/src/adapters/relay/beacon.cpp
+++ b/src/adapters/relay/beacon.cpp
@@ -90,7 +90,7 @@
     std::vector<schemas::Crash> crashes;
     for (const auto& crash : self.crashes)
     {
-        crashes.emplace_back(crash.request, crash.event, age_ms(crash.age));
+        crashes.emplace_back(crash.request, crash.crash, age_ms(crash.age));
     }
     builder.Finish(schemas::CreateBeaconDirect(builder,
                                                self.name.c_str(),
@@ -172,8 +172,7 @@
         {
             record.crashes.push_back(
                 {crash->request(),
-                 {},
-                 crash->attempt(),
+                 crash->crash(),
                  std::chrono::milliseconds(crash->age_ms())});
         }
     }
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -42,10 +42,9 @@
         std::function<bool()> is_ready;
         /// Tells whether most replicas of other zones do not answer.
         std::function<bool()> is_cut_off;
-        /// Attempts that crashed replicas: to tell other nodes, and heard.
-        std::function<std::vector<core::messages::crash_record>()>
-            crashes_to_tell;
-        std::function<void(const std::vector<core::messages::crash_record>&)>
+        /// Crashes that requests met: to tell other nodes, and heard.
+        std::function<std::vector<core::relay::crash_report>()> crashes_to_tell;
+        std::function<void(const std::vector<core::relay::crash_report>&)>
             on_crashes;
         /// Called when the store begins to miss or refuse calls.
         std::function<void()> on_store_lost;
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -110,7 +110,7 @@
                      return this->engine.crashes_to_tell();
                  },
                  .on_crashes =
-                     [this](const std::vector<core::messages::crash_record>& of)
+                     [this](const std::vector<core::relay::crash_report>& of)
                  {
                      this->engine.merge_crashes(of);
                  },
--- a/src/commands/command.hpp
+++ b/src/commands/command.hpp
@@ -33,5 +33,6 @@
 int request(const arguments& args);
 int admin(const arguments& args);
 int status(const arguments& args);
+int explain(const arguments& args);
 
 } // namespace hawthornrelay::commands
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -98,6 +98,7 @@
     event_row{log_event::entry_left, "entry_left", log_level::info},
     event_row{log_event::cut_off, "cut_off", log_level::warning},
     event_row{log_event::cut_healed, "cut_healed", log_level::info},
+    event_row{log_event::request_started, "request_started", log_level::info},
     event_row{log_event::request_answered, "request_answered", log_level::info},
     event_row{log_event::send_failed, "send_failed", log_level::info},
     event_row{log_event::caller_gone, "caller_gone", log_level::info},
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -85,6 +85,7 @@
     entry_left = 1046,
     cut_off = 1047,
     cut_healed = 1048,
+    request_started = 1050,
     request_answered = 1051,
     send_failed = 1052,
     caller_gone = 1053,
--- a/src/core/quarantine/crash_ledger.hpp
+++ b/src/core/quarantine/crash_ledger.hpp
@@ -58,18 +58,6 @@
                 const std::vector<placement::route>& siblings,
                 base::time_point now) const;
 
-    /// @brief Crashes of a request that still count.
-    /// @param request the request's fingerprint
-    /// @param now the current time
-    [[nodiscard]] std::uint32_t crashes_of(base::fingerprint request,
-                                           base::time_point now) const;
-
-    /// @brief Tells whether no crash is known.
-    [[nodiscard]] bool is_empty() const
-    {
-        return this->by_event.empty();
-    }
-
     /// @brief The records that still count, for a peer.
     /// @param now the current time
     /// @return the records with their ages
@@ -87,6 +75,8 @@
         base::time_point happened_at;
     };
 
+    [[nodiscard]] std::uint32_t crashes_of(base::fingerprint request,
+                                           base::time_point now) const;
     [[nodiscard]] bool is_healthy(const base::replica_id& replica,
                                   base::time_point now) const;
 
--- a/src/core/relay/crash_watch.cpp
+++ b/src/core/relay/crash_watch.cpp
@@ -1,30 +1,43 @@
 #include <core/relay/crash_watch.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 #include <core/base/hash.hpp>
 
 namespace hawthornrelay::core::relay
 {
 
+using base::duration;
 using base::time_point;
 
 namespace
 {
 
-/// Records that one message between nodes carries; it must fit into a
-/// datagram.
-constexpr std::size_t most_told = 16;
+/// How long a crash counts against its request.
+constexpr std::chrono::minutes remembered_time{2};
+
+/// Crashes closer to each other than this may be one that several attempts met,
+/// on one node or on several.
+constexpr std::chrono::seconds same_crash_time{1};
 
 /// A replica that is asked for its health answers or not within this time.
 constexpr std::chrono::seconds suspicion_time{5};
 
-} // namespace
+/// Crashes that one message between nodes carries; it must fit into a datagram.
+constexpr std::size_t most_told = 16;
+
+/// Bounds on memory; what is beyond them is not watched.
+constexpr std::size_t most_requests = 4096;
+constexpr std::size_t most_crashes = 16;
 
-crash_watch::crash_watch() : ledger(quarantine::quarantine_limits{})
+bool is_same_time(time_point left, time_point right)
 {
+    return left - right < same_crash_time && right - left < same_crash_time;
 }
 
+} // namespace
+
 void crash_watch::on_broken(const std::string& replica,
                             base::fingerprint request,
                             const std::string& attempt,
@@ -33,10 +46,18 @@
     this->suspicions[replica].push_back({request, base::hash_of(attempt), now});
 }
 
+void crash_watch::on_answered(base::fingerprint request, time_point now)
+{
+    const auto found = this->requests.find(request);
+    if (found != this->requests.end())
+    {
+        found->second.answered_at = now;
+    }
+}
+
 std::vector<base::fingerprint> crash_watch::on_check(const std::string& replica,
                                                      bool has_answered,
-                                                     time_point asked_at,
-                                                     time_point now)
+                                                     time_point asked_at)
 {
     std::vector<base::fingerprint> found;
     const auto at_replica = this->suspicions.find(replica);
@@ -51,12 +72,7 @@
                       {
                           return false;
                       }
-                      // One record an attempt, however many replicas it met.
-                      const bool is_new =
-                          !has_answered &&
-                          this->ledger.note(
-                              {open.request, {}, open.attempt, {}}, now);
-                      if (is_new)
+                      if (!has_answered && this->note_own(open))
                       {
                           found.push_back(open.request);
                       }
@@ -69,45 +85,146 @@
     return found;
 }
 
+std::vector<crash_watch::met_crash> crash_watch::history::open() const
+{
+    std::vector<met_crash> result;
+    std::copy_if(this->crashes.begin(),
+                 this->crashes.end(),
+                 std::back_inserter(result),
+                 [this](const met_crash& crash)
+                 {
+                     return !this->answered_at || crash.at > *this->answered_at;
+                 });
+    return result;
+}
+
+crash_watch::history* crash_watch::history_of(base::fingerprint request)
+{
+    const bool is_full = this->requests.size() >= most_requests &&
+                         !this->requests.contains(request);
+    return is_full ? nullptr : &this->requests[request];
+}
+
+bool crash_watch::note_own(const suspicion& confirmed)
+{
+    auto* known = this->history_of(confirmed.request);
+    if (known == nullptr || known->crashes.size() >= most_crashes)
+    {
+        return false;
+    }
+    const bool is_known =
+        std::any_of(known->crashes.begin(),
+                    known->crashes.end(),
+                    [&confirmed](const met_crash& other)
+                    {
+                        return is_same_time(other.at, confirmed.broke_at);
+                    });
+    if (!is_known)
+    {
+        known->crashes.push_back({confirmed.attempt, confirmed.broke_at});
+    }
+    return !is_known;
+}
+
 bool crash_watch::has_suspicion(const std::string& replica) const
 {
     return this->suspicions.contains(replica);
 }
 
-std::uint32_t crash_watch::attempts_of(base::fingerprint request,
-                                       time_point now) const
+std::size_t crash_watch::crashes_of(base::fingerprint request,
+                                    time_point now) const
 {
-    return this->ledger.crashes_of(request, now);
+    const auto found = this->requests.find(request);
+    if (found == this->requests.end())
+    {
+        return 0;
+    }
+    std::vector<time_point> apart;
+    for (const auto& crash : found->second.open())
+    {
+        const bool counts =
+            now - crash.at < remembered_time &&
+            std::none_of(apart.begin(),
+                         apart.end(),
+                         [&crash](time_point other)
+                         {
+                             return is_same_time(other, crash.at);
+                         });
+        if (counts)
+        {
+            apart.push_back(crash.at);
+        }
+    }
+    return apart.size();
 }
 
-void crash_watch::merge(const std::vector<messages::crash_record>& records,
+void crash_watch::merge(const std::vector<crash_report>& reports,
                         time_point now)
 {
-    for (const auto& record : records)
+    for (const auto& report : reports)
     {
-        this->ledger.note(record, now);
+        auto* known = report.age < remembered_time
+                          ? this->history_of(report.request)
+                          : nullptr;
+        if (known == nullptr)
+        {
+            continue;
+        }
+        auto& crashes = known->crashes;
+        const auto at = now - report.age;
+        const auto found = std::find_if(crashes.begin(),
+                                        crashes.end(),
+                                        [&report](const met_crash& crash)
+                                        {
+                                            return crash.number == report.crash;
+                                        });
+        if (found != crashes.end())
+        {
+            // A report that was read late, after a pause, looks too young.
+            found->at = std::min(found->at, at);
+        }
+        else if (crashes.size() < most_crashes)
+        {
+            crashes.push_back({report.crash, at});
+        }
     }
 }
 
-std::vector<messages::crash_record> crash_watch::to_tell(time_point now) const
+std::vector<crash_report> crash_watch::to_tell(time_point now) const
 {
-    auto records = this->ledger.current(now);
-    std::sort(records.begin(),
-              records.end(),
+    std::vector<crash_report> reports;
+    for (const auto& [request, known] : this->requests)
+    {
+        for (const auto& crash : known.open())
+        {
+            reports.push_back({request, crash.number, now - crash.at});
+        }
+    }
+    std::sort(reports.begin(),
+              reports.end(),
               [](const auto& left, const auto& right)
               {
                   return left.age < right.age;
               });
-    if (records.size() > most_told)
-    {
-        records.resize(most_told);
-    }
-    return records;
+    reports.resize(std::min(reports.size(), most_told));
+    return reports;
 }
 
 void crash_watch::expire(time_point now)
 {
-    this->ledger.expire(now);
+    for (auto& [request, known] : this->requests)
+    {
+        std::erase_if(known.crashes,
+                      [now](const met_crash& crash)
+                      {
+                          return now - crash.at >= remembered_time;
+                      });
+    }
+    std::erase_if(this->requests,
+                  [](const auto& item)
+                  {
+                      return item.second.crashes.empty();
+                  });
     for (auto& [replica, open] : this->suspicions)
     {
         std::erase_if(open,
--- a/src/core/relay/crash_watch.hpp
+++ b/src/core/relay/crash_watch.hpp
@@ -4,29 +4,34 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <core/base/ids.hpp>
 #include <core/base/time.hpp>
-#include <core/messages.hpp>
-#include <core/quarantine/crash_ledger.hpp>
 
 namespace hawthornrelay::core::relay
 {
 
-/// @brief Tells crashes from lost answers, and counts for each request the
-///        attempts that crashed replicas.
+/// @brief A crash that a request met, as nodes tell each other.
+struct crash_report
+{
+    base::fingerprint request = 0;
+    std::uint64_t crash = 0; ///< unique number of the crash
+    base::duration age{};
+};
+
+/// @brief Counts how often a request met a crash without being answered.
 ///
-/// A broken send alone proves nothing: answers get lost too. It counts when the
-/// replica does not answer the health check that follows. All requests that
-/// broke at the replica are suspected, but only the one that crashes replicas
-/// meets a crash again in its next attempt.
+/// A broken send alone proves nothing, since answers get lost too: it counts
+/// when the replica does not answer the health check that follows. All requests
+/// that broke at the replica are suspected. What tells the one that crashes
+/// replicas from the others is that it meets crashes again and again and is
+/// never answered.
 class crash_watch
 {
   public:
-    crash_watch();
-
     /// @brief Notes a send that broke after it reached a replica.
     /// @param replica the replica's id
     /// @param request the request's fingerprint
@@ -37,37 +42,38 @@
                    const std::string& attempt,
                    base::time_point now);
 
+    /// @brief Notes that a replica has answered a request.
+    void on_answered(base::fingerprint request, base::time_point now);
+
     /// @brief Takes the outcome of a health check.
     /// @param replica the replica's id
     /// @param has_answered whether the replica answered
     /// @param asked_at when the check was sent; what broke later stays open
-    /// @param now the current time
-    /// @return the requests that are now known to have crashed the replica
+    /// @return the requests that are now known to have met a crash
     std::vector<base::fingerprint> on_check(const std::string& replica,
                                             bool has_answered,
-                                            base::time_point asked_at,
-                                            base::time_point now);
+                                            base::time_point asked_at);
 
     /// @brief Tells whether a check of the replica would settle a suspicion.
     [[nodiscard]] bool has_suspicion(const std::string& replica) const;
 
-    /// @brief Attempts of a request that crashed replicas.
-    [[nodiscard]] std::uint32_t attempts_of(base::fingerprint request,
-                                            base::time_point now) const;
+    /// @brief Crashes that a request met since it was last answered. Those at
+    ///        about the same time count once.
+    [[nodiscard]] std::size_t crashes_of(base::fingerprint request,
+                                         base::time_point now) const;
 
-    /// @brief True when no request has crashed a replica lately.
+    /// @brief True when no request has met a crash lately.
     [[nodiscard]] bool is_empty() const
     {
-        return this->ledger.is_empty();
+        return this->requests.empty();
     }
 
     /// @brief Takes what another node knows.
-    void merge(const std::vector<messages::crash_record>& records,
-               base::time_point now);
+    void merge(const std::vector<crash_report>& reports, base::time_point now);
 
-    /// @brief What other nodes should know: the newest records.
-    [[nodiscard]] std::vector<messages::crash_record>
-    to_tell(base::time_point now) const;
+    /// @brief What other nodes should know: the newest crashes of requests that
+    ///        were not answered since.
+    [[nodiscard]] std::vector<crash_report> to_tell(base::time_point now) const;
 
     /// @brief Drops what no longer counts.
     void expire(base::time_point now);
@@ -76,11 +82,33 @@
     struct suspicion
     {
         base::fingerprint request = 0;
-        std::uint64_t attempt = 0;
+        std::uint64_t attempt = 0; ///< hash of its id
         base::time_point broke_at{};
     };
 
-    quarantine::crash_ledger ledger;
+    struct met_crash
+    {
+        std::uint64_t number = 0;
+        base::time_point at{};
+    };
+
+    struct history
+    {
+        /// @brief The crashes since the last answer.
+        [[nodiscard]] std::vector<met_crash> open() const;
+
+        std::vector<met_crash> crashes;
+        std::optional<base::time_point> answered_at;
+    };
+
+    /// @return the history of a request, nullptr when there are too many
+    history* history_of(base::fingerprint request);
+
+    /// @brief Notes a crash that this node found.
+    /// @return true when no other is known of about the same time
+    bool note_own(const suspicion& confirmed);
+
+    std::map<base::fingerprint, history> requests;
     std::map<std::string, std::vector<suspicion>> suspicions;
 };
 
--- a/src/core/relay/node_record.hpp
+++ b/src/core/relay/node_record.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include <core/base/time.hpp>
-#include <core/messages.hpp>
+#include <core/relay/crash_watch.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -30,8 +30,8 @@
     std::string referral;     ///< in a reply: `ip:port` of a nearer node
     /// In a reply: entries that are listed but that the node does not hear.
     std::vector<std::string> silent_entries;
-    /// Attempts that crashed replicas, of its own and from others.
-    std::vector<messages::crash_record> crashes;
+    /// Crashes that requests met at this node and, as far as it knows, others.
+    std::vector<crash_report> crashes;
     base::duration store_age{}; ///< since it knew the store's state
 };
 
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -36,7 +36,6 @@
     store_calls,
     store_failures,
     directory_answers,
-    log_lines_dropped,
     end
 };
 
@@ -63,8 +62,7 @@
                         "probes",
                         "store_calls",
                         "store_failures",
-                        "directory_answers",
-                        "log_lines_dropped"};
+                        "directory_answers"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -25,6 +25,7 @@
     /// A failed send may mean that it restarted: it is taken for cold until a
     /// health check says otherwise.
     bool may_be_cold = false;
+    base::time_point checked_at{}; ///< when it was last asked for its health
     bool is_being_checked = false;
     bool is_removed = false; ///< its registration is gone
     /// Until then nothing is sent to it: another replica answers at its
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -29,6 +29,9 @@
 /// sends of one second may arrive within less.
 constexpr double cold_safety = 0.6;
 
+/// A request asks a replica that may be cold for its health this often.
+constexpr std::chrono::milliseconds recheck_interval{250};
+
 /// A standby, which serves few requests, uses this part of an entry's part.
 constexpr unsigned standby_cold_divisor = 16;
 
@@ -148,6 +151,13 @@
         {
             return candidate;
         }
+        const bool may_ask = candidate->may_be_cold &&
+                             now - candidate->checked_at >= recheck_interval;
+        if (may_ask)
+        {
+            // Nodes that keep no connections check replicas for requests only.
+            this->check(candidate);
+        }
     }
     return nullptr;
 }
@@ -180,6 +190,7 @@
         return;
     }
     target->is_being_checked = true;
+    target->checked_at = this->runtime.now();
     const auto asked_at = this->runtime.now();
     this->transport.check(
         target,
@@ -222,16 +233,15 @@
                                 time_point asked_at)
 {
     const auto& id = target->record.id;
-    const auto now = this->runtime.now();
     for (const auto request :
-         this->crashes.on_check(id, has_answered, asked_at, now))
+         this->crashes.on_check(id, has_answered, asked_at))
     {
-        this->log.write(
-            base::log_event::crash_found,
-            {{"replica", id},
-             {"fingerprint", std::to_string(request)},
-             {"attempts",
-              std::to_string(this->crashes.attempts_of(request, now))}});
+        const auto count =
+            this->crashes.crashes_of(request, this->runtime.now());
+        this->log.write(base::log_event::crash_found,
+                        {{"replica", id},
+                         {"fingerprint", std::to_string(request)},
+                         {"crashes", std::to_string(count)}});
     }
     if (this->crashes.has_suspicion(id))
     {
@@ -240,13 +250,12 @@
     }
 }
 
-void request_engine::merge_crashes(
-    const std::vector<messages::crash_record>& records)
+void request_engine::merge_crashes(const std::vector<crash_report>& reports)
 {
-    this->crashes.merge(records, this->runtime.now());
+    this->crashes.merge(reports, this->runtime.now());
 }
 
-std::vector<messages::crash_record> request_engine::crashes_to_tell()
+std::vector<crash_report> request_engine::crashes_to_tell()
 {
     const auto now = this->runtime.now();
     this->crashes.expire(now);
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -109,10 +109,10 @@
     void check(const replica_ptr& target);
 
     /// @brief Takes crashes that another node knows of.
-    void merge_crashes(const std::vector<messages::crash_record>& records);
+    void merge_crashes(const std::vector<crash_report>& reports);
 
     /// @brief Crashes that other nodes should know of.
-    [[nodiscard]] std::vector<messages::crash_record> crashes_to_tell();
+    [[nodiscard]] std::vector<crash_report> crashes_to_tell();
 
     /// @brief Requests without an answer.
     [[nodiscard]] std::size_t active() const
--- a/src/core/relay/request_run.cpp
+++ b/src/core/relay/request_run.cpp
@@ -66,9 +66,17 @@
                promises.end();
 }
 
-/// Attempts that crashed replicas after which a request is refused. Two, since
-/// a request may run where another one crashes the replica.
-constexpr std::uint32_t crashing_attempts_to_refuse = 2;
+/// One search in so many names its replicas in the log at its start; a line
+/// with 60 of them for each search would be most of the log.
+constexpr std::uint64_t named_search_sample = 16;
+
+/// Crashes without an answer in between after which a request is refused. One
+/// may be the fault of another request at the same replica.
+constexpr std::size_t crashes_to_refuse = 2;
+
+/// Retry-After of such a request. The crashes count for two minutes; callers
+/// come back sooner if the fault is mended.
+constexpr std::chrono::seconds contained_pause{60};
 
 } // namespace
 
@@ -120,6 +128,7 @@
         targets.push_back(this->engine.choose(usable, this->hedge_delay()));
         part.is_failed = true;
     }
+    this->log_start(targets);
     if (!this->are_enough_reachable(targets))
     {
         // Waiting would not help; another node may reach more.
@@ -136,6 +145,33 @@
     }
 }
 
+void request_run::log_start(const std::vector<replica_ptr>& targets) const
+{
+    const auto& id = this->request.message->id;
+    const bool has_names =
+        targets.size() == 1 || base::hash_of(id) % named_search_sample == 0;
+    std::string names;
+    std::size_t unusable = 0;
+    for (const auto& target : targets)
+    {
+        unusable += target == nullptr ? 1 : 0;
+        if (has_names)
+        {
+            names += names.empty() ? "" : ",";
+            names += target == nullptr ? "-" : target->record.id;
+        }
+    }
+    this->engine.log.write(
+        base::log_event::request_started,
+        {{"request", id},
+         {"route", this->way->name},
+         {"config", std::to_string(this->config->version)},
+         {"idempotent", this->way->is_idempotent ? "1" : "0"},
+         {"parts", std::to_string(targets.size())},
+         {"unusable", std::to_string(unusable)},
+         {"replicas", std::move(names)}});
+}
+
 bool request_run::are_enough_reachable(
     const std::vector<replica_ptr>& targets) const
 {
@@ -181,14 +217,17 @@
     return true;
 }
 
-base::fingerprint request_run::fingerprint() const
+base::fingerprint request_run::fingerprint()
 {
-    const auto& message = *this->request.message;
-    return base::hash_of(
-        this->request.caller,
-        base::hash_of(
-            message.method,
-            base::fingerprint_of(message.host + message.target, message.body)));
+    if (!this->known_fingerprint)
+    {
+        const auto& message = *this->request.message;
+        const auto content =
+            base::fingerprint_of(message.host + message.target, message.body);
+        this->known_fingerprint = base::hash_of(
+            this->request.caller, base::hash_of(message.method, content));
+    }
+    return *this->known_fingerprint;
 }
 
 bool request_run::refuse_crashing()
@@ -199,19 +238,19 @@
         return false;
     }
     const auto request = this->fingerprint();
-    const auto attempts = crashes.attempts_of(request, this->started);
-    this->has_crashed_before = attempts > 0;
-    if (attempts < crashing_attempts_to_refuse)
+    const auto count = crashes.crashes_of(request, this->started);
+    this->has_crashed_before = count > 0;
+    if (count < crashes_to_refuse)
     {
         return false;
     }
     this->engine.log.write(base::log_event::request_contained,
                            {{"request", this->request.message->id},
                             {"fingerprint", std::to_string(request)},
-                            {"attempts", std::to_string(attempts)}});
+                            {"crashes", std::to_string(count)}});
     this->fail(result_code::request_quarantined,
                "the request has crashed replicas in earlier attempts",
-               quarantine::quarantine_limits().remembered_for);
+               contained_pause);
     return true;
 }
 
@@ -486,6 +525,10 @@
     {
         latency.add(taken);
         this->engine.counters.parts.add(taken);
+        if (!this->engine.crashes.is_empty())
+        {
+            this->engine.crashes.on_answered(this->fingerprint(), now);
+        }
     }
     if (this->is_finished || part.answer)
     {
--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -75,10 +75,11 @@
     bool select_route();
     /// Refuses a request that has crashed replicas in earlier attempts.
     bool refuse_crashing();
-    [[nodiscard]] base::fingerprint fingerprint() const;
+    base::fingerprint fingerprint();
     void plan_times();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_all_parts();
+    void log_start(const std::vector<replica_ptr>& targets) const;
     [[nodiscard]] bool
     are_enough_reachable(const std::vector<replica_ptr>& targets) const;
     bool send_again(std::size_t index, reason why);
@@ -127,6 +128,7 @@
     ports::timer_id timer = ports::no_timer;
     bool is_finished = false;
     bool has_crashed_before = false; ///< replicas, in an earlier attempt
+    std::optional<base::fingerprint> known_fingerprint;
     bool is_dispatching = false;
 };
 
--- /dev/null
+++ b/src/core/story/request_story.cpp
@@ -0,0 +1,261 @@
+#include <core/story/request_story.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <set>
+#include <string_view>
+
+namespace hawthornrelay::core::story
+{
+
+namespace
+{
+
+/// What was logged longer before a request explains it no more.
+constexpr std::chrono::seconds background_time{30};
+
+/// Events that tell of the node itself.
+constexpr std::array<std::string_view, 12> node_events{"relay_started",
+                                                       "relay_stopping",
+                                                       "configuration_in_force",
+                                                       "zone_out",
+                                                       "zone_back",
+                                                       "store_lost",
+                                                       "store_regained",
+                                                       "source_lost",
+                                                       "source_regained",
+                                                       "entry_joined",
+                                                       "cut_off",
+                                                       "cut_healed"};
+
+bool is_of_node(const log_line& line)
+{
+    return std::find(node_events.begin(), node_events.end(), line.event) !=
+           node_events.end();
+}
+
+bool is_request(const log_line& line, const std::string& id)
+{
+    return line.field("request") == id;
+}
+
+const log_line* find(const std::vector<log_line>& lines, std::string_view event)
+{
+    const auto found = std::find_if(lines.begin(),
+                                    lines.end(),
+                                    [event](const log_line& line)
+                                    {
+                                        return line.event == event;
+                                    });
+    return found == lines.end() ? nullptr : &*found;
+}
+
+/// Replicas that steps name, those of the stragglers included.
+std::set<std::string> replicas_of(const std::vector<log_line>& steps)
+{
+    std::set<std::string> result;
+    for (const auto& step : steps)
+    {
+        if (const auto replica = step.field("replica"); !replica.empty())
+        {
+            result.emplace(replica);
+        }
+        // A part is written as `service+,replica@ms:ms` or `service-,...`.
+        std::string_view text = step.field("stragglers");
+        while (!text.empty())
+        {
+            const auto end = std::min(text.find_first_of(",;"), text.size());
+            const auto item = text.substr(0, end);
+            const auto at = item.find('@');
+            if (at != std::string_view::npos)
+            {
+                result.emplace(item.substr(0, at));
+            }
+            text.remove_prefix(std::min(end + 1, text.size()));
+        }
+    }
+    return result;
+}
+
+std::vector<log_line> background_of(const std::vector<log_line>& lines,
+                                    const std::vector<log_line>& steps)
+{
+    const auto replicas = replicas_of(steps);
+    const auto end = steps.back().time;
+    std::map<std::string, log_line> last;
+    for (const auto& line : lines)
+    {
+        const auto replica = std::string(line.field("replica"));
+        const bool is_told =
+            line.node == steps.back().node && line.time <= end &&
+            end - line.time <= background_time && line.field("request").empty();
+        if (!is_told || !(is_of_node(line) || replicas.contains(replica)))
+        {
+            continue;
+        }
+        auto& place = last[line.event + " " + replica];
+        if (place.event.empty() || place.time <= line.time)
+        {
+            place = line;
+        }
+    }
+    std::vector<log_line> result;
+    for (const auto& [key, line] : last)
+    {
+        result.push_back(line);
+    }
+    std::stable_sort(result.begin(),
+                     result.end(),
+                     [](const log_line& left, const log_line& right)
+                     {
+                         return left.time < right.time;
+                     });
+    return result;
+}
+
+/// `service at replica` of each part that had no answer.
+std::string unanswered_parts(std::string_view stragglers)
+{
+    std::string result;
+    while (!stragglers.empty())
+    {
+        const auto end = std::min(stragglers.find(';'), stragglers.size());
+        const auto part = stragglers.substr(0, end);
+        const auto name = part.substr(0, part.find(','));
+        if (name.ends_with('-'))
+        {
+            result += result.empty() ? "" : ", ";
+            result += name.substr(0, name.size() - 1);
+        }
+        stragglers.remove_prefix(std::min(end + 1, stragglers.size()));
+    }
+    return result;
+}
+
+std::string cause_of(const std::vector<log_line>& steps)
+{
+    const auto* answer = find(steps, "request_answered");
+    if (answer == nullptr)
+    {
+        return find(steps, "caller_gone") != nullptr
+                   ? "the caller left before the answer"
+                   : "no answer is logged: the process ended, or lines were "
+                     "dropped";
+    }
+    const auto code = answer->field("code");
+    const auto waited_for = unanswered_parts(answer->field("stragglers"));
+    if (const auto* withheld = find(steps, "send_withheld");
+        withheld != nullptr && code != "ok")
+    {
+        return "service " + std::string(withheld->field("service")) +
+               " had to be asked again, but this node had used its part of the "
+               "bound on extra sends";
+    }
+    const auto* failed = find(steps, "send_failed");
+    const bool is_single_try = failed != nullptr &&
+                               find(steps, "sent_again") == nullptr &&
+                               answer->field("parts") == "1" && code != "ok";
+    if (is_single_try)
+    {
+        return "replica " + std::string(failed->field("replica")) +
+               " may have run the request, but its answer was lost (" +
+               std::string(failed->field("reason")) +
+               "); it was not sent again";
+    }
+    if (code == "request_quarantined")
+    {
+        return "the request met crashes of replicas and was never answered";
+    }
+    if (code == "node_not_ready")
+    {
+        return "the node had no configuration yet";
+    }
+    if (code == "no_replica" && answer->field("sends") == "0")
+    {
+        return "no replica could be used: they leave, are cold, are out, or do "
+               "not answer";
+    }
+    if (!waited_for.empty())
+    {
+        return "no answer came from " + waited_for;
+    }
+    return code == "ok" ? "none: it was answered"
+                        : "see the steps: " + std::string(code);
+}
+
+std::string write_line(const log_line& line,
+                       std::chrono::sys_time<std::chrono::microseconds> from)
+{
+    std::array<char, 32> offset{};
+    std::snprintf(
+        offset.data(),
+        offset.size(),
+        "%10.1f ms",
+        std::chrono::duration<double, std::milli>(line.time - from).count());
+    std::string text = offset.data();
+    text += "  " + line.node + "  " + line.event;
+    for (const auto& [name, value] : line.fields)
+    {
+        if (name == "request")
+        {
+            continue;
+        }
+        const bool is_plain =
+            !value.empty() && value.find(' ') == std::string::npos;
+        text += " " + name + "=" + (is_plain ? value : '"' + value + '"');
+    }
+    return text + "\n";
+}
+
+} // namespace
+
+request_story tell_story(const std::vector<log_line>& lines,
+                         const std::string& id)
+{
+    request_story story;
+    std::copy_if(lines.begin(),
+                 lines.end(),
+                 std::back_inserter(story.steps),
+                 [&id](const log_line& line)
+                 {
+                     return is_request(line, id);
+                 });
+    if (story.steps.empty())
+    {
+        story.cause = "no line names the request";
+        return story;
+    }
+    std::stable_sort(story.steps.begin(),
+                     story.steps.end(),
+                     [](const log_line& left, const log_line& right)
+                     {
+                         return left.time < right.time;
+                     });
+    story.background = background_of(lines, story.steps);
+    story.cause = cause_of(story.steps);
+    return story;
+}
+
+std::string write_story(const request_story& story, const std::string& id)
+{
+    std::string text = "request " + id + "\n";
+    if (!story.steps.empty())
+    {
+        const auto from = story.steps.front().time;
+        text += "before and meanwhile, on its node:\n";
+        for (const auto& line : story.background)
+        {
+            text += write_line(line, from);
+        }
+        text += "the request:\n";
+        for (const auto& line : story.steps)
+        {
+            text += write_line(line, from);
+        }
+    }
+    return text + "cause: " + story.cause + "\n";
+}
+
+} // namespace hawthornrelay::core::story
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -75,6 +75,13 @@
             "show the state of one node",
             "hawthornrelay status --via=IP:PORT --key=KEY\n",
             hawthornrelay::commands::status},
+    command{"explain",
+            "tell from logs what happened to a request",
+            "hawthornrelay explain ID < LOGS\n\n"
+            "Reads the log lines of any nodes and prints those of the request "
+            "with this id,\nwhat its node knew before, and the cause of its "
+            "outcome. Exits with 1 when no\nline names the request.\n",
+            hawthornrelay::commands::explain},
 };
 
 void print_commands(std::FILE* to)
--- a/tests/relay/test_relay_crashes.cpp
+++ b/tests/relay/test_relay_crashes.cpp
@@ -9,7 +9,6 @@
 using namespace std::chrono_literals;
 using namespace hawthornrelay::tests::support;
 using hawthornrelay::core::base::result_code;
-using hawthornrelay::core::messages::crash_record;
 
 namespace
 {
@@ -143,6 +142,39 @@
     BOOST_TEST((all.ask("again", "/l/y").code == result_code::ok));
 }
 
+BOOST_AUTO_TEST_CASE(a_usual_request_that_meets_crashes_is_served_on)
+{
+    // Many callers behind one address ask the same; replicas crash by turns.
+    crashing_world all(800ms);
+    all.world.replicas.behaviour =
+        [&all, first = all.world.replicas.behaviour](
+            const relay::replica& replica, const std::string& request)
+    {
+        const auto now = all.world.loop.now();
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+            now.time_since_epoch());
+        const bool is_crashing =
+            now >= all.back_at[replica.record.id] + 3s &&
+            replica.record.id.ends_with(second.count() % 4 < 2 ? "-a" : "-b");
+        return first(replica, is_crashing ? "crash" : request);
+    };
+    std::size_t served = 0;
+    for (int i = 0; i < 2000; ++i)
+    {
+        const auto id = "usual-" + std::to_string(i);
+        all.world.start(id, "/l/x", patience);
+        all.world.loop.run_for(10ms);
+    }
+    all.world.loop.run_for(2s);
+    for (const auto& [id, answer] : all.world.answers)
+    {
+        BOOST_TEST((answer.code != result_code::request_quarantined));
+        served += answer.code == result_code::ok ? 1 : 0;
+    }
+    BOOST_TEST(all.crashes > 4U);
+    BOOST_TEST(served > 1900U);
+}
+
 BOOST_AUTO_TEST_CASE(other_nodes_refuse_it_too)
 {
     crashing_world first;
@@ -154,13 +186,38 @@
     BOOST_TEST(heard.size() == 2U);
     crashing_world third;
     third.world.engine.merge_crashes(heard);
-    // Heard twice, an attempt counts once.
+    // Heard twice, a crash counts once.
     third.world.engine.merge_crashes(heard);
     BOOST_TEST((third.ask("crash-3", "/l/x").code ==
                 result_code::request_quarantined));
     BOOST_TEST(third.crashes == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(reports_that_are_read_late_are_no_new_crashes)
+{
+    // A paused node reads what was sent to it when it goes on.
+    relay::crash_watch first;
+    relay::crash_watch paused;
+    const time_point begin{100s};
+    first.on_broken("r", 7, "attempt", begin);
+    BOOST_TEST(first.on_check("r", false, begin).size() == 1U);
+    std::vector<std::vector<relay::crash_report>> sent;
+    for (int i = 0; i < 5; ++i)
+    {
+        sent.push_back(first.to_tell(begin + 1s * i));
+    }
+    paused.merge(sent.front(), begin);
+    for (const auto& reports : sent)
+    {
+        paused.merge(reports, begin + 6s);
+    }
+    BOOST_TEST(paused.crashes_of(7, begin + 6s) == 1U);
+    // Once the request was answered, nobody hears of the crash any more.
+    first.on_answered(7, begin + 7s);
+    BOOST_TEST(first.crashes_of(7, begin + 7s) == 0U);
+    BOOST_TEST(first.to_tell(begin + 7s).empty());
+}
+
 BOOST_AUTO_TEST_CASE(it_is_tried_again_after_two_minutes)
 {
     crashing_world all;
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -436,6 +436,42 @@
     BOOST_TEST(count <= 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_standby_finds_out_that_a_replica_is_warm)
+{
+    bool is_broken = true;
+    relay_world world(
+        [&](const relay::replica&, const std::string&)
+        {
+            return is_broken ? reset : ok;
+        });
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["book"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, false);
+    world.replicas.health = [&](const relay::replica&)
+    {
+        return hawthornrelay::ports::health_report{
+            !is_broken, !is_broken, std::nullopt};
+    };
+    for (const auto* id : {"broken-a", "broken-b"})
+    {
+        world.start(id, "/l/" + std::string(id), 1500ms);
+        world.loop.run_for(2s);
+    }
+    is_broken = false;
+    std::size_t served = 0;
+    for (int i = 0; i < 50; ++i)
+    {
+        const auto id = "after-" + std::to_string(i);
+        world.start(id, "/l/x", 1500ms);
+        world.loop.run_for(100ms);
+        served += world.answers.at(id).code == result_code::ok ? 1 : 0;
+    }
+    // The first ones ask the replicas for their health.
+    BOOST_TEST(served >= 45U);
+}
+
 BOOST_AUTO_TEST_CASE(a_zone_that_is_out_gets_nothing)
 {
     relay_world world(always(ok));
@@ -593,12 +629,17 @@
     relay_world world(always(reset));
     world.start("b", "/b/x", 1500ms);
     world.loop.run_for(1s);
-    std::size_t lines = 0;
+    std::vector<std::string> events;
     for (const auto& line : world.log.lines)
     {
-        lines += line.find("request=b ") != std::string::npos;
+        if (line.find("request=b ") != std::string::npos)
+        {
+            events.push_back(line.substr(0, line.find(' ')));
+        }
     }
-    BOOST_TEST(lines == 2U);
+    const std::vector<std::string> expected{
+        "request_started", "send_failed", "request_answered"};
+    BOOST_TEST(events == expected, boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/relay/test_request_story.cpp
@@ -0,0 +1,158 @@
+// From a request's id to its cause, by the lines that the engine writes.
+#define BOOST_TEST_MODULE request_story
+#include <boost/test/unit_test.hpp>
+
+#include <core/story/request_story.hpp>
+#include <support/relay_world.hpp>
+
+using namespace std::chrono_literals;
+using namespace hawthornrelay::tests::support;
+namespace story = hawthornrelay::core::story;
+
+namespace
+{
+
+const treatment ok{};
+const treatment shed{send_result::shed, 1ms};
+const treatment reset{send_result::broken, 60ms};
+const treatment silent{send_result::answered, 3600s};
+
+/// What the engine of a world logged, as its process would have written it.
+std::vector<story::log_line> lines_of(const relay_world& world)
+{
+    std::vector<story::log_line> result;
+    for (const auto& line : world.log.lines)
+    {
+        const auto parsed = story::parse_log_line(
+            "2026-12-04T10:00:00.000001Z info 1000 " + line + " node=n1");
+        BOOST_REQUIRE(parsed.has_value());
+        result.push_back(*parsed);
+    }
+    return result;
+}
+
+std::string cause_of(const relay_world& world, const std::string& id)
+{
+    return story::tell_story(lines_of(world), id).cause;
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(lines)
+
+BOOST_AUTO_TEST_CASE(a_line_is_read_back)
+{
+    const auto line = story::parse_log_line(
+        " 35.4 node-1 2026-03-20T01:40:47.129552Z info 1052 send_failed "
+        "node=node-1 request=ab replica=r1 reason=\"read: \\\"reset\\\"\"");
+    BOOST_REQUIRE(line.has_value());
+    BOOST_TEST(line->event == "send_failed");
+    BOOST_TEST(line->node == "node-1");
+    BOOST_TEST(line->field("replica") == "r1");
+    BOOST_TEST(line->field("reason") == "read: \"reset\"");
+    BOOST_TEST(line->field("absent").empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_is_no_line_is_passed_over)
+{
+    for (const auto* text : {"",
+                             "no time here",
+                             "2026-13-20T01:40:47.129552Z info 1052 x",
+                             "2026-03-20T01:40:47.12955xZ info 1052 x",
+                             "2026-03-20T01:40:47.129552Z info",
+                             "2026-03-20T01:40:47.129552Z info ten x"})
+    {
+        BOOST_TEST(!story::parse_log_line(text).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(causes)
+
+BOOST_AUTO_TEST_CASE(a_request_that_the_bound_on_extra_sends_failed)
+{
+    relay_world world(
+        [](const relay::replica&, const std::string&)
+        {
+            return shed;
+        },
+        20,
+        1);
+    world.start("q", "/s/x");
+    world.loop.run_for(1s);
+    BOOST_TEST(contains(cause_of(world, "q"), "bound on extra sends"));
+    BOOST_TEST(contains(cause_of(world, "q"), "shard"));
+}
+
+BOOST_AUTO_TEST_CASE(a_search_that_waited_for_silent_shards)
+{
+    relay_world world(
+        [](const relay::replica& replica, const std::string&)
+        {
+            return replica.record.service == "shard7" ? silent : ok;
+        });
+    world.start("q", "/s/x");
+    world.loop.run_for(1s);
+    BOOST_TEST(cause_of(world, "q") == "no answer came from shard7");
+}
+
+BOOST_AUTO_TEST_CASE(a_booking_whose_outcome_is_unknown)
+{
+    relay_world world(
+        [](const relay::replica&, const std::string&)
+        {
+            return reset;
+        });
+    world.start("b", "/b/x", 1500ms);
+    world.loop.run_for(2s);
+    BOOST_TEST(contains(cause_of(world, "b"), "may have run the request"));
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_could_not_be_sent)
+{
+    relay_world world(
+        [](const relay::replica&, const std::string&)
+        {
+            return ok;
+        });
+    world.engine.registry.set_zone_out("here", true);
+    world.engine.registry.set_zone_out("there", true);
+    world.start("q", "/l/x");
+    world.loop.run_for(1s);
+    BOOST_TEST(contains(cause_of(world, "q"), "no replica could be used"));
+    BOOST_TEST(cause_of(world, "unheard of") == "no line names the request");
+}
+
+BOOST_AUTO_TEST_CASE(what_its_node_knew_is_told_too)
+{
+    const auto line = [](const std::string& text)
+    {
+        return *story::parse_log_line("2026-12-04T10:00:" + text);
+    };
+    const std::vector<story::log_line> lines{
+        line("09.200000Z info 1051 request_answered node=a request=q "
+             "code=target_failed parts=2 stragglers=s1-,r1@0?;s2+,r2@0:40"),
+        line("08.000000Z warning 1025 replica_suspect node=a replica=r1"),
+        line("08.100000Z warning 1025 replica_suspect node=a replica=r9"),
+        line("08.200000Z warning 1025 replica_suspect node=b replica=r1"),
+        line("09.100000Z info 1050 request_started node=a request=q"),
+        line("07.000000Z warning 1031 store_lost node=a reason=x"),
+        line("09.300000Z info 1032 store_regained node=a")};
+    const auto told = story::tell_story(lines, "q");
+    BOOST_REQUIRE(told.steps.size() == 2U);
+    BOOST_TEST(told.steps.front().event == "request_started");
+    BOOST_REQUIRE(told.background.size() == 2U);
+    BOOST_TEST(told.background.front().event == "store_lost");
+    BOOST_TEST(told.background.back().event == "replica_suspect");
+    const auto text = story::write_story(told, "q");
+    BOOST_TEST(contains(text, "100.0 ms  a  request_answered"));
+    BOOST_TEST(contains(text, "cause: no answer came from s1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
