Count sends from before a cold return was known; take replicas for cold after a pause

Change: recent sends count whether or not the replica was known to be cold (test what_was_sent_before_a_cold_return_was_known_counts, seen failing). A request after a gap of a second in the engine's upkeep takes all replicas of services with a cold rate for possibly cold until they are checked (test a_node_that_was_paused_takes_replicas_for_cold).

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -364,6 +364,7 @@
 
 void node::upkeep()
 {
+    this->engine.note_running();
     for (const auto& id : this->engine.registry.expire(this->runtime.now()))
     {
         this->log.write(log_event::replica_removed,
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -31,8 +31,8 @@
     /// Until then nothing is sent to it: another replica answers at its
     /// address.
     base::time_point displaced_until{};
-    /// Recent sends while cold, for the bound on cold replicas.
-    std::vector<base::time_point> cold_sends;
+    /// Recent sends, for the bound on cold replicas.
+    std::vector<base::time_point> recent_sends;
 };
 
 /// @brief Shared by the registry and the requests in flight.
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -29,6 +29,10 @@
 /// sends of one second may arrive within less.
 constexpr double cold_safety = 0.6;
 
+/// The process notes that it runs more often than this. A replica restarts and
+/// is registered in about this time.
+constexpr std::chrono::seconds least_pause{1};
+
 /// A request asks a replica that may be cold for its health this often.
 constexpr std::chrono::milliseconds recheck_interval{250};
 
@@ -92,6 +96,7 @@
 
 std::uint64_t request_engine::start(caller_request request, answer_handler done)
 {
+    this->notice_pause();
     const auto number = this->next_run++;
     const auto run = std::make_shared<request_run>(
         *this, number, std::move(request), std::move(done));
@@ -100,6 +105,27 @@
     return number;
 }
 
+void request_engine::note_running()
+{
+    this->notice_pause();
+    this->running_at = this->runtime.now();
+}
+
+void request_engine::notice_pause()
+{
+    const auto now = this->runtime.now();
+    if (!this->running_at || now - *this->running_at < least_pause)
+    {
+        return;
+    }
+    this->running_at = now;
+    for (const auto& [id, target] : this->registry.all())
+    {
+        target->may_be_cold =
+            target->may_be_cold || this->cold_rate(*target) > 0;
+    }
+}
+
 void request_engine::on_caller_gone(std::uint64_t request)
 {
     const auto found = this->runs.find(request);
@@ -266,7 +292,7 @@
 {
     const double rate = this->cold_rate(target);
     const bool is_cold = target.cold_until > now || target.may_be_cold;
-    if (!is_cold || rate <= 0)
+    if (rate <= 0)
     {
         return true;
     }
@@ -279,16 +305,25 @@
     // Below one send a second, sends are spaced further apart.
     const auto span = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(std::max(1.0, 1.0 / own)));
-    std::erase_if(target.cold_sends,
+    std::erase_if(target.recent_sends,
                   [&](time_point sent)
                   {
                       return sent + span <= now;
                   });
-    if (static_cast<double>(target.cold_sends.size()) >= std::max(1.0, own))
+    // Sends from before the replica was known to be cold reached it all the
+    // same.
+    const double most = std::max(1.0, own);
+    auto& sent = target.recent_sends;
+    if (is_cold && static_cast<double>(sent.size()) >= most)
     {
         return false;
     }
-    target.cold_sends.push_back(now);
+    sent.push_back(now);
+    if (static_cast<double>(sent.size()) > most + 1)
+    {
+        // Older ones make no difference.
+        sent.erase(sent.begin());
+    }
     return true;
 }
 
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,12 @@
     ///        dropped a connection.
     void on_possible_restart(const replica_ptr& target);
 
+    /// @brief Tells that the process runs; call it at least each half second.
+    ///
+    /// A request after a longer gap shows that the process was paused. What it
+    /// knows of replicas is old then, so all are taken for possibly cold.
+    void note_running();
+
     /// @brief Asks a replica for its health, unless it is being asked.
     void check(const replica_ptr& target);
 
@@ -132,6 +139,7 @@
     /// @return the replica, or nullptr when none may be used
     replica_ptr choose(const std::vector<replica_ptr>& candidates,
                        base::duration usual);
+    void notice_pause();
     void on_broken(const replica_ptr& target,
                    base::fingerprint request,
                    const std::string& attempt);
@@ -149,6 +157,7 @@
     configuration_ptr config;
     extra_budget extras;
     crash_watch crashes;
+    std::optional<base::time_point> running_at;
     unsigned entry_count = 1;
     bool is_entry = true;
     /// Of the parts of each route's requests.
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -436,6 +436,80 @@
     BOOST_TEST(count <= 2);
 }
 
+BOOST_AUTO_TEST_CASE(what_was_sent_before_a_cold_return_was_known_counts)
+{
+    relay_world world(always(ok));
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["shard3"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, true);
+    const auto ask = [&world](const std::string& id)
+    {
+        world.start(id, "/s/x");
+        world.loop.run_for(5ms);
+    };
+    for (int i = 0; i < 20; ++i)
+    {
+        ask("unaware" + std::to_string(i));
+    }
+    for (const auto& [id, target] : world.engine.registry.all())
+    {
+        target->cold_until = world.loop.now() + 3s;
+    }
+    std::map<std::string, std::size_t> sent;
+    const auto count = [&]
+    {
+        sent.clear();
+        for (const auto& item : world.replicas.arrivals)
+        {
+            ++sent[item.replica];
+        }
+        return sent;
+    };
+    auto before = count();
+    for (int i = 0; i < 20; ++i)
+    {
+        ask("aware" + std::to_string(i));
+    }
+    auto after = count();
+    // An eighth of 10 x 1.5 + 5 in a second, with those from before.
+    constexpr std::size_t most = 2;
+    BOOST_TEST(before["shard3-a"] > most);
+    for (const auto* id : {"shard3-a", "shard3-b"})
+    {
+        BOOST_TEST(after[id] <= std::max(before[id], most));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_was_paused_takes_replicas_for_cold)
+{
+    relay_world world(always(ok));
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["book"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, true);
+    world.engine.note_running();
+    world.loop.run_for(4s);
+    // The requests of its kept connections are read before anything else.
+    for (int i = 0; i < 20; ++i)
+    {
+        world.start("q" + std::to_string(i), "/l/x", 1500ms);
+    }
+    // An eighth of 10 x 1.5 + 5 at each of two replicas.
+    BOOST_TEST(world.replicas.arrivals.size() <= 4U);
+    world.loop.run_for(1s);
+    world.engine.note_running();
+    for (int i = 0; i < 20; ++i)
+    {
+        world.start("later" + std::to_string(i), "/l/x", 1500ms);
+        world.loop.run_for(10ms);
+    }
+    world.loop.run_for(1s);
+    BOOST_TEST((world.answers.at("later19").code == result_code::ok));
+}
+
 BOOST_AUTO_TEST_CASE(a_standby_finds_out_that_a_replica_is_warm)
 {
     bool is_broken = true;
