--- a/src/core/story/request_story.cpp
+++ b/src/core/story/request_story.cpp
@@ -102,6 +102,7 @@
         }
     }
     std::vector<log_line> result;
+    result.reserve(last.size());
     for (const auto& [key, line] : last)
     {
         result.push_back(line);
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -557,6 +557,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_draining_replica_gets_nothing)
+{
+    relay_world world(always(ok));
+    for (const auto& [id, target] : world.engine.registry.all())
+    {
+        target->record.is_draining = id.ends_with("-a");
+    }
+    served_in_time(world, 50, 11ms);
+    BOOST_TEST(!world.replicas.arrivals.empty());
+    for (const auto& item : world.replicas.arrivals)
+    {
+        BOOST_TEST(item.replica.ends_with("-b"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(equal_replicas_prefer_the_own_zone)
 {
     relay_world world(always(ok));
