Split the long files of requests and their tests by subject

Moves only: what concerns sending once more leaves request_run, the tests of the choice of replicas leave test_relay_requests, their patterns go to support.

--- a/src/core/relay/request_run.hpp
+++ b/src/core/relay/request_run.hpp
@@ -23,6 +23,9 @@
 /// Retry-After of refusals: a pause of a replica has ended by then.
 constexpr std::chrono::milliseconds retry_pause{20};
 
+/// Sends of one part, rejected ones included.
+constexpr std::size_t most_tries = 6;
+
 /// @brief The state of one request: a part for each shard, or a single part.
 class request_run : public std::enable_shared_from_this<request_run>
 {
--- /dev/null
+++ b/tests/relay/test_relay_replicas.cpp
@@ -0,0 +1,260 @@
+// How replicas are chosen: cold and leaving ones, zones, other addresses.
+#define BOOST_TEST_MODULE relay_replicas
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include <support/relay_patterns.hpp>
+
+using namespace hawthornrelay::tests::support;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(replicas)
+
+BOOST_AUTO_TEST_CASE(nothing_more_is_sent_where_another_replica_answers)
+{
+    const treatment other_here{send_result::other_here, 1ms};
+    relay_world world(
+        [&](const relay::replica& replica, const std::string&)
+        {
+            return replica.record.id == "shard3-a" ? other_here : ok;
+        });
+    served_in_time(world, 100, 11ms);
+    const auto count = std::count_if(world.replicas.arrivals.begin(),
+                                     world.replicas.arrivals.end(),
+                                     [](const scripted_replicas::arrival& item)
+                                     {
+                                         return item.replica == "shard3-a";
+                                     });
+    BOOST_TEST(count == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_cold_return_stays_within_the_bound_over_all_nodes)
+{
+    relay_world world(always(ok));
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["shard3"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, true);
+    for (const auto& target :
+         world.engine.registry.usable("shard3", world.loop.now()))
+    {
+        target->cold_until = world.loop.now() + 3s;
+    }
+    served_in_time(world, 270, 11ms);
+    std::map<std::string, std::vector<time_point>> sends;
+    for (const auto& item : world.replicas.arrivals)
+    {
+        if (item.service == "shard3")
+        {
+            sends[item.replica].push_back(item.at);
+        }
+    }
+    for (const auto& sent : sends)
+    {
+        const auto& times = sent.second;
+        for (std::size_t i = 0; i < times.size(); ++i)
+        {
+            const auto in_second =
+                std::count_if(times.begin(),
+                              times.end(),
+                              [&](time_point at)
+                              {
+                                  return at >= times[i] && at < times[i] + 1s;
+                              });
+            // An eighth of 10 x 1.5 + 5.
+            BOOST_TEST(in_second <= 2);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_came_back_unseen_is_taken_for_cold)
+{
+    // Its first send after the restart meets the old connection's end.
+    bool has_restarted = false;
+    relay_world world(
+        [&](const relay::replica& replica, const std::string&)
+        {
+            const bool is_broken =
+                replica.record.id == "shard3-a" && !has_restarted;
+            return is_broken ? reset : ok;
+        });
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["shard3"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, true);
+    world.replicas.health = [&](const relay::replica&)
+    {
+        return hawthornrelay::ports::health_report{true, true, duration(3s)};
+    };
+    served_in_time(world, 1, 11ms);
+    has_restarted = true;
+    const auto back = world.loop.now();
+    for (int i = 0; i < 90; ++i)
+    {
+        world.start("back" + std::to_string(i), "/s/x");
+        world.loop.run_for(11ms);
+    }
+    const auto count =
+        std::count_if(world.replicas.arrivals.begin(),
+                      world.replicas.arrivals.end(),
+                      [&](const scripted_replicas::arrival& item)
+                      {
+                          return item.replica == "shard3-a" && item.at >= back;
+                      });
+    // An eighth of 10 x 1.5 + 5 in a second.
+    BOOST_TEST(count <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_sent_before_a_cold_return_was_known_counts)
+{
+    relay_world world(always(ok));
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["shard3"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, true);
+    const auto ask = [&world](const std::string& id)
+    {
+        world.start(id, "/s/x");
+        world.loop.run_for(5ms);
+    };
+    for (int i = 0; i < 20; ++i)
+    {
+        ask("unaware" + std::to_string(i));
+    }
+    for (const auto& [id, target] : world.engine.registry.all())
+    {
+        target->cold_until = world.loop.now() + 3s;
+    }
+    std::map<std::string, std::size_t> sent;
+    const auto count = [&]
+    {
+        sent.clear();
+        for (const auto& item : world.replicas.arrivals)
+        {
+            ++sent[item.replica];
+        }
+        return sent;
+    };
+    auto before = count();
+    for (int i = 0; i < 20; ++i)
+    {
+        ask("aware" + std::to_string(i));
+    }
+    auto after = count();
+    // An eighth of 10 x 1.5 + 5 in a second, with those from before.
+    constexpr std::size_t most = 2;
+    BOOST_TEST(before["shard3-a"] > most);
+    for (const auto* id : {"shard3-a", "shard3-b"})
+    {
+        BOOST_TEST(after[id] <= std::max(before[id], most));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_was_paused_takes_replicas_for_cold)
+{
+    relay_world world(always(ok));
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["book"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, true);
+    world.engine.note_running();
+    world.loop.run_for(4s);
+    // The requests of its kept connections are read before anything else.
+    for (int i = 0; i < 20; ++i)
+    {
+        world.start("q" + std::to_string(i), "/l/x", 1500ms);
+    }
+    // An eighth of 10 x 1.5 + 5 at each of two replicas.
+    BOOST_TEST(world.replicas.arrivals.size() <= 4U);
+    world.loop.run_for(1s);
+    world.engine.note_running();
+    for (int i = 0; i < 20; ++i)
+    {
+        world.start("later" + std::to_string(i), "/l/x", 1500ms);
+        world.loop.run_for(10ms);
+    }
+    world.loop.run_for(1s);
+    BOOST_TEST((world.answers.at("later19").code == result_code::ok));
+}
+
+BOOST_AUTO_TEST_CASE(a_standby_finds_out_that_a_replica_is_warm)
+{
+    bool is_broken = true;
+    relay_world world(
+        [&](const relay::replica&, const std::string&)
+        {
+            return is_broken ? reset : ok;
+        });
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services["book"].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, false);
+    world.replicas.health = [&](const relay::replica&)
+    {
+        return hawthornrelay::ports::health_report{
+            !is_broken, !is_broken, std::nullopt};
+    };
+    for (const auto* id : {"broken-a", "broken-b"})
+    {
+        world.start(id, "/l/" + std::string(id), 1500ms);
+        world.loop.run_for(2s);
+    }
+    is_broken = false;
+    std::size_t served = 0;
+    for (int i = 0; i < 50; ++i)
+    {
+        const auto id = "after-" + std::to_string(i);
+        world.start(id, "/l/x", 1500ms);
+        world.loop.run_for(100ms);
+        served += world.answers.at(id).code == result_code::ok ? 1 : 0;
+    }
+    // The first ones ask the replicas for their health.
+    BOOST_TEST(served >= 45U);
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_that_is_out_gets_nothing)
+{
+    relay_world world(always(ok));
+    world.engine.registry.set_zone_out("here", true);
+    served_in_time(world, 50, 11ms);
+    for (const auto& item : world.replicas.arrivals)
+    {
+        BOOST_TEST(item.replica.ends_with("-b"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_replica_gets_nothing)
+{
+    relay_world world(always(ok));
+    for (const auto& [id, target] : world.engine.registry.all())
+    {
+        target->record.is_draining = id.ends_with("-a");
+    }
+    served_in_time(world, 50, 11ms);
+    BOOST_TEST(!world.replicas.arrivals.empty());
+    for (const auto& item : world.replicas.arrivals)
+    {
+        BOOST_TEST(item.replica.ends_with("-b"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(equal_replicas_prefer_the_own_zone)
+{
+    relay_world world(always(ok));
+    served_in_time(world, 100, 30ms);
+    const auto near = std::count_if(world.replicas.arrivals.begin(),
+                                    world.replicas.arrivals.end(),
+                                    [](const scripted_replicas::arrival& item)
+                                    {
+                                        return item.replica.ends_with("-a");
+                                    });
+    BOOST_TEST(near == 2000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
