--- a/tests/relay/test_relay_replicas.cpp
+++ b/tests/relay/test_relay_replicas.cpp
@@ -9,6 +9,24 @@
 using namespace hawthornrelay::tests::support;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// Bounds a cold replica of a service, over 8 entries of which this node may be
+/// one, to 10 x 1.5 + 5 requests a second.
+void state_cold_rate(relay_world& world,
+                     const std::string& service,
+                     bool is_entry)
+{
+    auto config = std::make_shared<relay::configuration>(*world.config);
+    config->version = 2;
+    config->services[service].cold_requests_per_second = 10;
+    world.engine.set_configuration(config);
+    world.engine.set_division(8, is_entry);
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(replicas)
 
 BOOST_AUTO_TEST_CASE(nothing_more_is_sent_where_another_replica_answers)
@@ -32,11 +50,7 @@
 BOOST_AUTO_TEST_CASE(a_cold_return_stays_within_the_bound_over_all_nodes)
 {
     relay_world world(always(ok));
-    auto config = std::make_shared<relay::configuration>(*world.config);
-    config->version = 2;
-    config->services["shard3"].cold_requests_per_second = 10;
-    world.engine.set_configuration(config);
-    world.engine.set_division(8, true);
+    state_cold_rate(world, "shard3", true);
     for (const auto& target :
          world.engine.registry.usable("shard3", world.loop.now()))
     {
@@ -80,11 +94,7 @@
                 replica.record.id == "shard3-a" && !has_restarted;
             return is_broken ? reset : ok;
         });
-    auto config = std::make_shared<relay::configuration>(*world.config);
-    config->version = 2;
-    config->services["shard3"].cold_requests_per_second = 10;
-    world.engine.set_configuration(config);
-    world.engine.set_division(8, true);
+    state_cold_rate(world, "shard3", true);
     world.replicas.health = [&](const relay::replica&)
     {
         return hawthornrelay::ports::health_report{true, true, duration(3s)};
@@ -111,11 +121,7 @@
 BOOST_AUTO_TEST_CASE(what_was_sent_before_a_cold_return_was_known_counts)
 {
     relay_world world(always(ok));
-    auto config = std::make_shared<relay::configuration>(*world.config);
-    config->version = 2;
-    config->services["shard3"].cold_requests_per_second = 10;
-    world.engine.set_configuration(config);
-    world.engine.set_division(8, true);
+    state_cold_rate(world, "shard3", true);
     const auto ask = [&world](const std::string& id)
     {
         world.start(id, "/s/x");
@@ -157,11 +163,7 @@
 BOOST_AUTO_TEST_CASE(a_node_that_was_paused_takes_replicas_for_cold)
 {
     relay_world world(always(ok));
-    auto config = std::make_shared<relay::configuration>(*world.config);
-    config->version = 2;
-    config->services["book"].cold_requests_per_second = 10;
-    world.engine.set_configuration(config);
-    world.engine.set_division(8, true);
+    state_cold_rate(world, "book", true);
     world.engine.note_running();
     world.loop.run_for(4s);
     // The requests of its kept connections are read before anything else.
@@ -190,11 +192,7 @@
         {
             return is_broken ? reset : ok;
         });
-    auto config = std::make_shared<relay::configuration>(*world.config);
-    config->version = 2;
-    config->services["book"].cold_requests_per_second = 10;
-    world.engine.set_configuration(config);
-    world.engine.set_division(8, false);
+    state_cold_rate(world, "book", false);
     world.replicas.health = [&](const relay::replica&)
     {
         return hawthornrelay::ports::health_report{
