Keep counting sends to a replica when the entry of its new run comes

Change: the count goes over to the new run (test what_was_sent_before_the_new_entry_came_counts, seen failing: 8 sends, not 4). Sites without a cold rate do not count sends: nothing changes for them.

--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -25,6 +25,7 @@
 
 bool replica_registry::put(const replica_record& record, time_point now)
 {
+    std::vector<time_point> recent_sends;
     const auto known = this->replicas.find(record.id);
     if (known != this->replicas.end())
     {
@@ -47,9 +48,12 @@
             }
             return changed;
         }
+        // What was sent to the new incarnation before its entry came counts.
+        recent_sends = std::move(known->second->recent_sends);
         this->drop(record.id);
     }
     auto added = std::make_shared<replica>();
+    added->recent_sends = std::move(recent_sends);
     added->record = record;
     added->cold_until = now + record.warm_up_left;
     this->replicas[record.id] = added;
--- a/tests/relay/test_relay_replicas.cpp
+++ b/tests/relay/test_relay_replicas.cpp
@@ -160,6 +160,41 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(what_was_sent_before_the_new_entry_came_counts)
+{
+    relay_world world(always(ok));
+    state_cold_rate(world, "book", true);
+    const auto ask = [&world](const std::string& id)
+    {
+        world.start(id, "/l/x", 1500ms);
+        world.loop.run_for(10ms);
+    };
+    // A health check told that both restarted; their entries come later.
+    const auto all = world.engine.registry.all();
+    for (const auto& [id, target] : all)
+    {
+        target->cold_until = world.loop.now() + 3s;
+    }
+    for (int i = 0; i < 10; ++i)
+    {
+        ask("before" + std::to_string(i));
+    }
+    const auto before = world.replicas.arrivals.size();
+    BOOST_TEST(before == 4U);
+    for (const auto& [id, target] : all)
+    {
+        auto record = target->record;
+        record.started_at = 2;
+        record.warm_up_left = 3s;
+        world.engine.registry.put(record, world.loop.now());
+    }
+    for (int i = 0; i < 10; ++i)
+    {
+        ask("after" + std::to_string(i));
+    }
+    BOOST_TEST(world.replicas.arrivals.size() == before);
+}
+
 BOOST_AUTO_TEST_CASE(a_node_that_was_paused_takes_replicas_for_cold)
 {
     relay_world world(always(ok));
