--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -47,7 +47,9 @@
     soak(std::uint64_t seed, std::chrono::seconds length)
         : random(seed), length(length), store(this->io),
           folder("/tmp/hawthornrelay-soak-" + std::to_string(::getpid())),
-          subnet("127.77." + std::to_string(::getpid() % 250 + 1) + "."),
+          // Several soaks may run at the same time.
+          subnet("127." + std::to_string(::getpid() / 250 % 100 + 77) + "." +
+                 std::to_string(::getpid() % 250 + 1) + "."),
           all{.io = this->io,
               .nodes = this->nodes,
               .seen = this->seen,
