Log what became of each send without an answer, and what cleared a request of crashes

The logs could not tell apart the hypotheses of docs/incidents/2026-12-crashing-request.md: whether a send without an answer was looked at, why a suspicion was dropped, and which answer cleared a request.

- crash_found names the caller's request, and tells a new crash from one at about the same time (new=0).
- crash_ruled_out (1058): the replica answered the check.
- crashes_cleared (1059): the answer, its service and status.
- send_failed also for sends cancelled at the end of their request without one.
- explain lists what earlier attempts of the same request did, on any node (test crashes_of_earlier_attempts_on_any_node_are_included).

The test the_log_shows_why_a_request_failed lists every line of a request, so it names the new fourth one.

--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -107,6 +107,8 @@
     event_row{log_event::crash_found, "crash_found", log_level::warning},
     event_row{
         log_event::request_contained, "request_contained", log_level::warning},
+    event_row{log_event::crash_ruled_out, "crash_ruled_out", log_level::info},
+    event_row{log_event::crashes_cleared, "crashes_cleared", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -93,6 +93,8 @@
     send_withheld = 1055,
     crash_found = 1056,
     request_contained = 1057,
+    crash_ruled_out = 1058,
+    crashes_cleared = 1059,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/crash_tracker.cpp
+++ b/src/core/relay/crash_tracker.cpp
@@ -44,27 +44,29 @@
                               const std::string& caller_attempt,
                               time_point now)
 {
-    this->suspicions[replica].push_back(
-        {request, base::hash_of(caller_attempt), now});
+    this->suspicions[replica].push_back({request, caller_attempt, now});
 }
 
-void crash_tracker::on_answered(base::fingerprint request, time_point now)
+std::size_t crash_tracker::on_answered(base::fingerprint request,
+                                       time_point now)
 {
+    const auto cleared = this->crashes_of(request, now);
     const auto found = this->requests.find(request);
     if (found != this->requests.end())
     {
         found->second.answered_at = now;
     }
+    return cleared;
 }
 
-std::vector<base::fingerprint> crash_tracker::on_check(
+std::vector<resolved_suspicion> crash_tracker::on_check(
     const std::string& replica, bool has_answered, time_point asked_at)
 {
-    std::vector<base::fingerprint> found;
+    std::vector<resolved_suspicion> resolved;
     const auto at_replica = this->suspicions.find(replica);
     if (at_replica == this->suspicions.end())
     {
-        return found;
+        return resolved;
     }
     std::erase_if(at_replica->second,
                   [&](const suspicion& suspected)
@@ -73,17 +75,18 @@
                       {
                           return false;
                       }
-                      if (!has_answered && this->record_crash(suspected))
-                      {
-                          found.push_back(suspected.request);
-                      }
+                      resolved.push_back(
+                          {suspected.request,
+                           suspected.caller_attempt,
+                           !has_answered,
+                           !has_answered && this->record_crash(suspected)});
                       return true;
                   });
     if (at_replica->second.empty())
     {
         this->suspicions.erase(at_replica);
     }
-    return found;
+    return resolved;
 }
 
 std::vector<crash_tracker::crash_observation>
@@ -124,7 +127,7 @@
     if (!is_known)
     {
         known->crashes.push_back(
-            {confirmed.caller_attempt, confirmed.broke_at});
+            {base::hash_of(confirmed.caller_attempt), confirmed.broke_at});
     }
     return !is_known;
 }
--- a/src/core/relay/crash_tracker.hpp
+++ b/src/core/relay/crash_tracker.hpp
@@ -22,6 +22,15 @@
     base::duration age{};
 };
 
+/// @brief What a health check says about a send that broke before it.
+struct resolved_suspicion
+{
+    base::fingerprint request = 0;
+    std::string caller_attempt; ///< the caller's id of its attempt
+    bool is_crash = false;      ///< the replica did not answer the check
+    bool is_new = false;        ///< a crash that was not recorded before
+};
+
 /// @brief Counts the crashes during each request since it was last answered.
 ///
 /// A broken send is not proof of a crash, since answers get lost too: it counts
@@ -42,16 +51,17 @@
                    base::time_point now);
 
     /// @brief Records that a replica has answered a request.
-    void on_answered(base::fingerprint request, base::time_point now);
+    /// @return the number of crashes that no longer count
+    std::size_t on_answered(base::fingerprint request, base::time_point now);
 
     /// @brief Resolves suspicions with the outcome of a health check.
     /// @param replica the replica's id
     /// @param has_answered whether the replica answered
     /// @param asked_at when the check was sent; later suspicions are kept
-    /// @return the requests for which a new crash was recorded
-    std::vector<base::fingerprint> on_check(const std::string& replica,
-                                            bool has_answered,
-                                            base::time_point asked_at);
+    /// @return the suspicions that the check resolved
+    std::vector<resolved_suspicion> on_check(const std::string& replica,
+                                             bool has_answered,
+                                             base::time_point asked_at);
 
     /// @brief Tells whether a suspicion at the replica awaits a health check.
     [[nodiscard]] bool has_suspicion(const std::string& replica) const;
@@ -82,7 +92,7 @@
     struct suspicion
     {
         base::fingerprint request = 0;
-        std::uint64_t caller_attempt = 0; ///< hash of the attempt's id
+        std::string caller_attempt;
         base::time_point broke_at{};
     };
 
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -261,14 +261,17 @@
                                        time_point asked_at)
 {
     const auto& id = target->record.id;
-    for (const auto request :
+    for (const auto& resolved :
          this->crashes.on_check(id, has_answered, asked_at))
     {
         const auto count =
-            this->crashes.crashes_of(request, this->runtime.now());
-        this->log.write(base::log_event::crash_found,
-                        {{"replica", id},
-                         {"fingerprint", std::to_string(request)},
+            this->crashes.crashes_of(resolved.request, this->runtime.now());
+        this->log.write(resolved.is_crash ? base::log_event::crash_found
+                                          : base::log_event::crash_ruled_out,
+                        {{"request", resolved.caller_attempt},
+                         {"replica", id},
+                         {"fingerprint", std::to_string(resolved.request)},
+                         {"new", resolved.is_new ? "1" : "0"},
                          {"crashes", std::to_string(count)}});
     }
     if (this->crashes.has_suspicion(id))
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -382,10 +382,7 @@
     {
         latency.add(elapsed);
         this->engine.counters.parts.add(elapsed);
-        if (!this->engine.crashes.is_empty())
-        {
-            this->engine.crashes.on_answered(this->fingerprint(), now);
-        }
+        this->clear_crashes(attempt, outcome.answer.status);
     }
     if (this->is_finished || part.answer)
     {
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -81,6 +81,11 @@
     /// crashed replicas.
     bool refuse_if_crashing();
     base::fingerprint fingerprint();
+    /// Records that the request was answered, so its crashes had other causes.
+    void clear_crashes(const attempt_state& attempt, unsigned status);
+    /// Logs an attempt that got no answer before the request ended.
+    void log_abandoned(const part_state& part,
+                       const attempt_state& attempt) const;
     void compute_deadlines();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_first_attempts();
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -67,6 +67,29 @@
     return true;
 }
 
+void request_execution::clear_crashes(const attempt_state& attempt,
+                                      unsigned status)
+{
+    auto& crashes = this->engine.crashes;
+    if (crashes.is_empty())
+    {
+        return;
+    }
+    const auto cleared =
+        crashes.on_answered(this->fingerprint(), this->engine.runtime.now());
+    if (cleared > 0)
+    {
+        this->engine.log.write(
+            base::log_event::crashes_cleared,
+            {{"request", this->request.message->id},
+             {"replica", attempt.target->record.id},
+             {"service", attempt.target->record.service},
+             {"status", std::to_string(status)},
+             {"fingerprint", std::to_string(this->fingerprint())},
+             {"crashes", std::to_string(cleared)}});
+    }
+}
+
 double request_execution::extra_fraction(attempt_reason why) const
 {
     return why == attempt_reason::hedge ? hedge_fraction : 1.0;
--- a/src/core/relay/request_execution_finish.cpp
+++ b/src/core/relay/request_execution_finish.cpp
@@ -80,6 +80,7 @@
                 {
                     self->engine.transport.cancel(attempt.send);
                     self->settle(attempt, send_result::abandoned, 1.0);
+                    self->log_abandoned(part, attempt);
                 }
             }
         }
@@ -92,6 +93,23 @@
     this->engine.runtime.call_after(disconnect_grace, reset);
 }
 
+void request_execution::log_abandoned(const part_state& part,
+                                      const attempt_state& attempt) const
+{
+    const bool is_answered = part.answered_at != base::time_point{};
+    if (is_answered)
+    {
+        return;
+    }
+    const auto waited = this->engine.runtime.now() - attempt.sent_at;
+    this->engine.log.write(base::log_event::send_failed,
+                           {{"request", this->request.message->id},
+                            {"service", part.service},
+                            {"replica", attempt.target->record.id},
+                            {"after_ms", ms_text(waited)},
+                            {"reason", "no answer before the request ended"}});
+}
+
 void request_execution::on_caller_disconnected()
 {
     if (this->is_finished)
--- a/src/core/timeline/request_timeline.cpp
+++ b/src/core/timeline/request_timeline.cpp
@@ -16,6 +16,9 @@
 /// Lines logged longer before the end of a request do not explain it.
 constexpr std::chrono::seconds max_background_age{30};
 
+/// Crashes count against a request for this time.
+constexpr std::chrono::minutes max_crash_age{2};
+
 /// Events that concern the whole node.
 constexpr std::array<std::string_view, 12> node_events{"relay_started",
                                                        "relay_stopping",
@@ -80,21 +83,49 @@
     return result;
 }
 
+/// Fingerprint of the request; empty if no line names it.
+std::string_view fingerprint_of(const std::vector<log_line>& steps)
+{
+    for (const auto& step : steps)
+    {
+        if (const auto found = step.field("fingerprint"); !found.empty())
+        {
+            return found;
+        }
+    }
+    return {};
+}
+
+/// Tells whether a line reports what an earlier attempt of the same request did
+/// to a replica, on any node.
+bool concerns_same_request(const log_line& line, std::string_view fingerprint)
+{
+    return !fingerprint.empty() && line.field("fingerprint") == fingerprint;
+}
+
 std::vector<log_line> background_of(const std::vector<log_line>& lines,
                                     const std::vector<log_line>& steps)
 {
     const auto replicas = replicas_of(steps);
+    const auto fingerprint = fingerprint_of(steps);
+    const auto id = steps.back().field("request");
     const auto end = steps.back().time;
     std::map<std::string, log_line> latest_lines;
     for (const auto& line : lines)
     {
         const auto replica = std::string(line.field("replica"));
+        const bool is_earlier_attempt =
+            line.field("request") != id && line.time <= end &&
+            end - line.time <= max_crash_age &&
+            concerns_same_request(line, fingerprint);
         const bool is_relevant = line.node == steps.back().node &&
                                  line.time <= end &&
                                  end - line.time <= max_background_age &&
                                  line.field("request").empty();
-        if (!is_relevant ||
-            !(is_node_event(line) || replicas.contains(replica)))
+        const bool explains =
+            is_earlier_attempt || (is_relevant && (is_node_event(line) ||
+                                                   replicas.contains(replica)));
+        if (!explains)
         {
             continue;
         }
@@ -193,6 +224,7 @@
 }
 
 std::string format_line(const log_line& line,
+                        const std::string& id,
                         std::chrono::sys_time<std::chrono::microseconds> from)
 {
     std::array<char, 32> offset{};
@@ -205,7 +237,7 @@
     text += "  " + line.node + "  " + line.event;
     for (const auto& [name, value] : line.fields)
     {
-        if (name == "request")
+        if (name == "request" && value == id)
         {
             continue;
         }
@@ -252,15 +284,15 @@
     if (!timeline.steps.empty())
     {
         const auto from = timeline.steps.front().time;
-        text += "earlier events on the same node:\n";
+        text += "earlier events:\n";
         for (const auto& line : timeline.background)
         {
-            text += format_line(line, from);
+            text += format_line(line, id, from);
         }
         text += "the request:\n";
         for (const auto& line : timeline.steps)
         {
-            text += format_line(line, from);
+            text += format_line(line, id, from);
         }
     }
     return text + "cause: " + timeline.cause + "\n";
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -450,8 +450,10 @@
             events.push_back(line.substr(0, line.find(' ')));
         }
     }
-    const std::vector<std::string> expected{
-        "request_started", "send_failed", "request_answered"};
+    const std::vector<std::string> expected{"request_started",
+                                            "send_failed",
+                                            "request_answered",
+                                            "crash_ruled_out"};
     BOOST_TEST(events == expected, boost::test_tools::per_element());
 }
 
--- a/tests/relay/test_request_timeline.cpp
+++ b/tests/relay/test_request_timeline.cpp
@@ -72,6 +72,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(crashes_of_earlier_attempts_on_any_node_are_included)
+{
+    const auto line = [](const std::string& text)
+    {
+        return *timeline::parse_log_line("2026-12-04T10:00:" + text);
+    };
+    const std::vector<timeline::log_line> lines{
+        line("01.000000Z warning 1056 crash_found node=b request=p replica=r1 "
+             "fingerprint=7 crashes=1"),
+        line("02.000000Z warning 1056 crash_found node=c request=o replica=r2 "
+             "fingerprint=8 crashes=1"),
+        line("09.000000Z warning 1057 request_contained node=a request=q "
+             "fingerprint=7 crashes=2"),
+        line("09.000000Z info 1051 request_answered node=a request=q "
+             "code=request_quarantined parts=1")};
+    const auto found = timeline::build_timeline(lines, "q");
+    BOOST_REQUIRE(found.background.size() == 1U);
+    const auto text = timeline::format_timeline(found, "q");
+    BOOST_TEST(contains(text, "b  crash_found request=p replica=r1"));
+    BOOST_TEST(contains(text, "cause: replicas crashed"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(causes)
