Count the end of a replica also when it comes without a reset or after the caller left

Cause: only a send that broke while its request was open led to a health check. A replica that fell silent left a send that was cancelled when its request ended, without a trace; so did one that ended after its caller had left. A replica that was up again when its silence was noticed answered the check, which ruled the crash out.

Change: each send of a part without any answer is looked at, broken or cancelled, before or after the end of its request, and once after 250 ms while it waits for a replica that has been silent since. The replica has ended if no connection to it can be opened or another answers at its address, or if it registers as a new incarnation within ten seconds. One that only does not answer the check in time may be busy: it is asked again. Of a replica that fell silent the moment of its end is not known, so it counts as another crash only if the replica was alive since the last one: an outage of all replicas of a service is one failure and not a sequence of crashes.

The fixture also checks suspect replicas and registers restarted ones, as a node does; the stand-in of test_relay_process answers health checks, which it took for work before.

--- a/src/adapters/relay/replica_connection.cpp
+++ b/src/adapters/relay/replica_connection.cpp
@@ -369,6 +369,7 @@
     ports::send_outcome outcome;
     outcome.result = this->may_have_sent ? result : send_result::not_sent;
     outcome.detail = std::move(detail);
+    outcome.is_unreachable = this->is_connecting();
     this->reset();
     this->finish(outcome);
 }
--- a/src/adapters/relay/replica_connection.hpp
+++ b/src/adapters/relay/replica_connection.hpp
@@ -65,6 +65,12 @@
     /// @brief True if there is no request, connected or not.
     [[nodiscard]] bool is_free() const;
 
+    /// @brief True until the connection is established.
+    [[nodiscard]] bool is_connecting() const
+    {
+        return this->phase == state::connecting;
+    }
+
     /// @brief True if the replica closed the connection while it was idle.
     [[nodiscard]] bool was_closed_by_peer() const
     {
--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -245,16 +245,23 @@
                            outcome.result == send_result::shed;
                        done({has_answered,
                              has_answered && outcome.answer.status == 200,
-                             outcome.warm_up_left});
+                             outcome.warm_up_left,
+                             outcome.is_unreachable ||
+                                 outcome.result == send_result::other_replica});
                    });
     timer->expires_after(probe_timeout);
     timer->async_wait(
         [this, number, done, timer](const boost::system::error_code& error)
         {
-            if (!error && this->sends.contains(number))
+            const auto sent = this->sends.find(number);
+            if (!error && sent != this->sends.end())
             {
+                const auto connection = sent->second.lock();
+                ports::health_report report;
+                report.is_gone =
+                    connection != nullptr && connection->is_connecting();
                 this->cancel(number);
-                done({});
+                done(report);
             }
         });
 }
--- a/src/core/relay/crash_tracker.cpp
+++ b/src/core/relay/crash_tracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include <core/base/hash.hpp>
 
@@ -21,8 +22,9 @@
 /// on one node or on several.
 constexpr std::chrono::seconds same_crash_interval{1};
 
-/// Suspicions expire after this time; a health check has ended by then.
-constexpr std::chrono::seconds suspicion_timeout{5};
+/// Suspicions expire after this time; a replica that ended has restarted and
+/// registered by then.
+constexpr std::chrono::seconds suspicion_timeout{10};
 
 /// Limited so that a beacon fits into a datagram.
 constexpr std::size_t max_reports_per_message = 16;
@@ -39,12 +41,19 @@
 
 } // namespace
 
-void crash_tracker::on_broken(const std::string& replica,
-                              base::fingerprint request,
-                              const std::string& caller_attempt,
-                              time_point now)
+void crash_tracker::on_unanswered(const std::string& replica,
+                                  unanswered_send send,
+                                  time_point now)
 {
-    this->suspicions[replica].push_back({request, caller_attempt, now});
+    auto* known = this->history_for(send.request);
+    if (known == nullptr)
+    {
+        return;
+    }
+    known->suspected_at = now;
+    const bool is_heard =
+        send.is_silent && send.replica_alive_at > send.sent_at;
+    this->suspicions[replica].push_back({std::move(send), now, !is_heard});
 }
 
 std::size_t crash_tracker::on_answered(base::fingerprint request,
@@ -59,8 +68,55 @@
     return cleared;
 }
 
-std::vector<resolved_suspicion> crash_tracker::on_check(
-    const std::string& replica, bool has_answered, time_point asked_at)
+std::vector<resolved_suspicion>
+crash_tracker::on_check(const std::string& replica,
+                        check_outcome outcome,
+                        time_point asked_at,
+                        time_point now)
+{
+    if (outcome == check_outcome::open)
+    {
+        return {};
+    }
+    return this->resolve(
+        replica,
+        [&](suspicion& suspected) -> std::optional<resolved_suspicion>
+        {
+            if (suspected.raised_at > asked_at)
+            {
+                return std::nullopt;
+            }
+            const bool waits_for_end =
+                suspected.needs_check || suspected.send.is_silent;
+            if (outcome == check_outcome::gone && waits_for_end)
+            {
+                return this->confirm(suspected, now);
+            }
+            if (!std::exchange(suspected.needs_check, false))
+            {
+                return std::nullopt;
+            }
+            return resolved_suspicion{suspected.send.request,
+                                      suspected.send.caller_attempt};
+        });
+}
+
+std::vector<resolved_suspicion> crash_tracker::on_incarnation(
+    const std::string& replica, std::uint64_t incarnation, time_point now)
+{
+    return this->resolve(
+        replica,
+        [&](suspicion& suspected) -> std::optional<resolved_suspicion>
+        {
+            const bool has_ended = suspected.send.incarnation < incarnation;
+            return has_ended ? std::optional(this->confirm(suspected, now))
+                             : std::nullopt;
+        });
+}
+
+template <class Decision>
+std::vector<resolved_suspicion>
+crash_tracker::resolve(const std::string& replica, Decision decide)
 {
     std::vector<resolved_suspicion> resolved;
     const auto at_replica = this->suspicions.find(replica);
@@ -69,18 +125,14 @@
         return resolved;
     }
     std::erase_if(at_replica->second,
-                  [&](const suspicion& suspected)
+                  [&](suspicion& suspected)
                   {
-                      if (suspected.broke_at > asked_at)
+                      const auto decided = decide(suspected);
+                      if (decided)
                       {
-                          return false;
+                          resolved.push_back(*decided);
                       }
-                      resolved.push_back(
-                          {suspected.request,
-                           suspected.caller_attempt,
-                           !has_answered,
-                           !has_answered && this->record_crash(suspected)});
-                      return true;
+                      return decided && decided->is_crash;
                   });
     if (at_replica->second.empty())
     {
@@ -89,6 +141,26 @@
     return resolved;
 }
 
+std::vector<std::string> crash_tracker::suspected_replicas() const
+{
+    std::vector<std::string> result;
+    result.reserve(this->suspicions.size());
+    for (const auto& [replica, suspected] : this->suspicions)
+    {
+        result.push_back(replica);
+    }
+    return result;
+}
+
+resolved_suspicion crash_tracker::confirm(const suspicion& confirmed,
+                                          time_point now)
+{
+    return {confirmed.send.request,
+            confirmed.send.caller_attempt,
+            true,
+            this->record_crash(confirmed, now)};
+}
+
 std::vector<crash_tracker::crash_observation>
 crash_tracker::history::unanswered_crashes() const
 {
@@ -110,31 +182,49 @@
     return is_full ? nullptr : &this->requests[request];
 }
 
-bool crash_tracker::record_crash(const suspicion& confirmed)
+bool crash_tracker::record_crash(const suspicion& confirmed, time_point now)
 {
-    auto* known = this->history_for(confirmed.request);
+    const auto& send = confirmed.send;
+    auto* known = this->history_for(send.request);
     if (known == nullptr || known->crashes.size() >= max_crashes_per_request)
     {
         return false;
     }
-    const bool is_known =
-        std::any_of(known->crashes.begin(),
-                    known->crashes.end(),
-                    [&confirmed](const crash_observation& other)
-                    {
-                        return is_same_time(other.at, confirmed.broke_at);
-                    });
+    const bool is_answered_since =
+        known->answered_at && *known->answered_at >= send.sent_at;
+    if (is_answered_since)
+    {
+        return false;
+    }
+    const auto at = send.is_silent ? now : confirmed.raised_at;
+    const auto earlier = known->unanswered_crashes();
+    const bool is_known = std::any_of(
+        earlier.begin(),
+        earlier.end(),
+        [&](const crash_observation& other)
+        {
+            // Of a replica that falls silent it is not known when it ended: it
+            // may be the same failure unless the replica was alive since.
+            return is_same_time(other.at, at) ||
+                   (send.is_silent && send.replica_alive_at <= other.at);
+        });
     if (!is_known)
     {
-        known->crashes.push_back(
-            {base::hash_of(confirmed.caller_attempt), confirmed.broke_at});
+        known->crashes.push_back({base::hash_of(send.caller_attempt), at});
     }
     return !is_known;
 }
 
 bool crash_tracker::has_suspicion(const std::string& replica) const
 {
-    return this->suspicions.contains(replica);
+    const auto found = this->suspicions.find(replica);
+    return found != this->suspicions.end() &&
+           std::any_of(found->second.begin(),
+                       found->second.end(),
+                       [](const suspicion& item)
+                       {
+                           return item.needs_check;
+                       });
 }
 
 std::size_t crash_tracker::crashes_of(base::fingerprint request,
@@ -229,16 +319,17 @@
                       });
     }
     std::erase_if(this->requests,
-                  [](const auto& item)
+                  [now](const auto& item)
                   {
-                      return item.second.crashes.empty();
+                      return item.second.crashes.empty() &&
+                             now - item.second.suspected_at > suspicion_timeout;
                   });
     for (auto& [replica, suspected] : this->suspicions)
     {
         std::erase_if(suspected,
                       [now](const suspicion& item)
                       {
-                          return now - item.broke_at > suspicion_timeout;
+                          return now - item.raised_at > suspicion_timeout;
                       });
     }
     std::erase_if(this->suspicions,
--- a/src/core/relay/crash_tracker.hpp
+++ b/src/core/relay/crash_tracker.hpp
@@ -22,33 +22,54 @@
     base::duration age{};
 };
 
-/// @brief What a health check says about a send that broke before it.
+/// @brief A send that got no answer.
+struct unanswered_send
+{
+    base::fingerprint request = 0;
+    std::string caller_attempt; ///< the caller's id of its attempt
+    base::time_point sent_at{};
+    std::uint64_t incarnation = 0; ///< of the replica
+    /// True if the connection was not closed, so that the replica may have
+    /// ended at any time since the send.
+    bool is_silent = false;
+    /// The last sign of life of the replica.
+    base::time_point replica_alive_at{};
+};
+
+/// @brief What a health check shows of a replica.
+enum class check_outcome
+{
+    running,
+    gone, ///< it does not run at its address
+    open, ///< neither is known, such as of a busy replica
+};
+
+/// @brief What became of the suspicion that a send without an answer raised.
 struct resolved_suspicion
 {
     base::fingerprint request = 0;
     std::string caller_attempt; ///< the caller's id of its attempt
-    bool is_crash = false;      ///< the replica did not answer the check
+    bool is_crash = false;      ///< the replica has ended since the send
     bool is_new = false;        ///< a crash that was not recorded before
 };
 
 /// @brief Counts the crashes during each request since it was last answered.
 ///
-/// A broken send is not proof of a crash, since answers get lost too: it counts
-/// if the replica does not answer the next health check. All requests that
-/// broke at the replica become suspects. The one that crashes replicas differs
-/// from the others in that its crashes recur and it is never answered.
+/// A send without an answer is not proof of a crash, since answers get lost and
+/// replicas hang: it counts if the replica is gone by the next health check, or
+/// is registered as a new incarnation later. All requests that waited at the
+/// replica become suspects. The one that crashes replicas differs from the
+/// others in that its crashes recur and it is never answered.
 class crash_tracker
 {
   public:
-    /// @brief Records a send that broke after it reached a replica.
+    /// @brief Records a send that reached a replica and got no answer.
     /// @param replica the replica's id
-    /// @param request the request's fingerprint
-    /// @param caller_attempt the caller's id of its attempt
+    /// @param send the send
     /// @param now the current time
-    void on_broken(const std::string& replica,
-                   base::fingerprint request,
-                   const std::string& caller_attempt,
-                   base::time_point now);
+    void on_unanswered(const std::string& replica,
+                       unanswered_send send,
+                       base::time_point now);
 
     /// @brief Records that a replica has answered a request.
     /// @return the number of crashes that no longer count
@@ -56,12 +77,27 @@
 
     /// @brief Resolves suspicions with the outcome of a health check.
     /// @param replica the replica's id
-    /// @param has_answered whether the replica answered
+    /// @param outcome the outcome; one that is open resolves nothing
     /// @param asked_at when the check was sent; later suspicions are kept
+    /// @param now the current time
     /// @return the suspicions that the check resolved
     std::vector<resolved_suspicion> on_check(const std::string& replica,
-                                             bool has_answered,
-                                             base::time_point asked_at);
+                                             check_outcome outcome,
+                                             base::time_point asked_at,
+                                             base::time_point now);
+
+    /// @brief Resolves suspicions against earlier incarnations of a replica. A
+    ///        replica that restarts quickly answers the health check.
+    /// @param replica the replica's id
+    /// @param incarnation the registered incarnation
+    /// @param now the current time
+    /// @return the suspicions that were resolved
+    std::vector<resolved_suspicion> on_incarnation(const std::string& replica,
+                                                   std::uint64_t incarnation,
+                                                   base::time_point now);
+
+    /// @brief Replicas with sends that got no answer within the last seconds.
+    [[nodiscard]] std::vector<std::string> suspected_replicas() const;
 
     /// @brief Tells whether a suspicion at the replica awaits a health check.
     [[nodiscard]] bool has_suspicion(const std::string& replica) const;
@@ -71,7 +107,7 @@
     [[nodiscard]] std::size_t crashes_of(base::fingerprint request,
                                          base::time_point now) const;
 
-    /// @brief True if no request has a recorded crash.
+    /// @brief True if no request has a recorded crash or a suspicion.
     [[nodiscard]] bool is_empty() const
     {
         return this->requests.empty();
@@ -91,9 +127,11 @@
   private:
     struct suspicion
     {
-        base::fingerprint request = 0;
-        std::string caller_attempt;
-        base::time_point broke_at{};
+        unanswered_send send;
+        base::time_point raised_at{};
+        /// False if the replica has shown that it was running after the send,
+        /// so that only its end or its restart matters.
+        bool needs_check = true;
     };
 
     struct crash_observation
@@ -109,6 +147,7 @@
 
         std::vector<crash_observation> crashes;
         std::optional<base::time_point> answered_at;
+        base::time_point suspected_at{}; ///< the last suspicion
     };
 
     /// @return the history of a request, created if missing; nullptr if the
@@ -116,9 +155,20 @@
     history* history_for(base::fingerprint request);
 
     /// @brief Records a crash detected by this node.
-    /// @return false if one at about the same time is known or a limit is
-    ///         reached
-    bool record_crash(const suspicion& confirmed);
+    /// @return false if it is known, if the request was answered since the
+    ///         send, or if a limit is reached
+    bool record_crash(const suspicion& confirmed, base::time_point now);
+
+    /// @brief Applies a decision to the suspicions at a replica; those that it
+    ///        finds to be crashes are dropped.
+    /// @return the decisions that were made
+    template <class Decision>
+    std::vector<resolved_suspicion> resolve(const std::string& replica,
+                                            Decision decide);
+
+    /// @brief Records the suspicion's crash and reports it.
+    resolved_suspicion confirm(const suspicion& confirmed,
+                               base::time_point now);
 
     std::map<base::fingerprint, history> requests;
     std::map<std::string, std::vector<suspicion>> suspicions;
--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -74,6 +74,7 @@
     this->failures_in_a_row = is_failure ? this->failures_in_a_row + 1 : 0;
     if (!is_failure)
     {
+        this->on_alive(now);
         this->shed.add(result == send_result::shed ? 1.0 : 0.0, now);
     }
     if (result == send_result::answered)
@@ -95,6 +96,10 @@
 {
     this->has_failed_check = !has_answered;
     this->checked_at = now;
+    if (has_answered)
+    {
+        this->on_alive(now);
+    }
     if (is_healthy)
     {
         this->failures_in_a_row = 0;
--- a/src/core/relay/replica_health.hpp
+++ b/src/core/relay/replica_health.hpp
@@ -75,6 +75,19 @@
     /// @param now the current time
     void on_check(bool has_answered, bool is_healthy, base::time_point now);
 
+    /// @brief Records that the replica is known to be running.
+    void on_alive(base::time_point now)
+    {
+        this->last_alive_at = now;
+    }
+
+    /// @brief The last sign of life: an answer, or the registration of its
+    ///        incarnation.
+    [[nodiscard]] base::time_point alive_at() const
+    {
+        return this->last_alive_at;
+    }
+
     /// @brief Tells whether the replica is presumed down.
     [[nodiscard]] bool is_suspect() const;
 
@@ -101,6 +114,7 @@
     unsigned failures_in_a_row = 0;
     bool has_failed_check = false;
     base::time_point checked_at{};
+    base::time_point last_alive_at{};
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -57,6 +57,7 @@
     auto added = std::make_shared<replica>();
     added->recent_sends = std::move(recent_sends);
     added->record = record;
+    added->health.on_alive(now);
     added->cold_until = now + record.warm_up_left;
     this->replicas[record.id] = added;
     this->by_service[record.service].push_back(added);
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -34,7 +34,7 @@
 constexpr std::chrono::seconds min_detected_pause{1};
 
 /// Minimum interval of health checks that requests trigger for a replica that
-/// may be cold.
+/// may be cold or may have ended.
 constexpr std::chrono::milliseconds recheck_interval{250};
 
 /// A standby serves few requests and may use 1/16 of an entry's portion.
@@ -225,7 +225,7 @@
         [this, target, asked_at](const ports::health_report& report)
         {
             target->is_being_checked = false;
-            this->on_check_finished(target, report.has_answered, asked_at);
+            this->on_check_finished(target, report, asked_at);
             const bool was_suspect = target->health.is_suspect();
             target->health.on_check(
                 report.has_answered, report.is_healthy, this->runtime.now());
@@ -247,37 +247,79 @@
         });
 }
 
-void request_engine::on_broken(const replica_ptr& target,
-                               base::fingerprint request,
-                               const std::string& caller_attempt)
+void request_engine::on_unanswered(const replica_ptr& target,
+                                   unanswered_send send)
 {
-    this->crashes.on_broken(
-        target->record.id, request, caller_attempt, this->runtime.now());
-    this->check(target);
+    const auto& id = target->record.id;
+    send.incarnation = target->record.started_at;
+    send.replica_alive_at = target->health.alive_at();
+    this->crashes.on_unanswered(id, std::move(send), this->runtime.now());
+    if (this->crashes.has_suspicion(id))
+    {
+        this->check(target);
+    }
 }
 
 void request_engine::on_check_finished(const replica_ptr& target,
-                                       bool has_answered,
+                                       const ports::health_report& report,
                                        time_point asked_at)
 {
+    const auto outcome = report.has_answered ? check_outcome::running
+                         : report.is_gone    ? check_outcome::gone
+                                             : check_outcome::open;
     const auto& id = target->record.id;
-    for (const auto& resolved :
-         this->crashes.on_check(id, has_answered, asked_at))
+    this->log_suspicions(
+        id, this->crashes.on_check(id, outcome, asked_at, this->runtime.now()));
+    if (!this->crashes.has_suspicion(id))
     {
-        const auto count =
-            this->crashes.crashes_of(resolved.request, this->runtime.now());
-        this->log.write(resolved.is_crash ? base::log_event::crash_found
-                                          : base::log_event::crash_ruled_out,
-                        {{"request", resolved.caller_attempt},
-                         {"replica", id},
-                         {"fingerprint", std::to_string(resolved.request)},
-                         {"new", resolved.is_new ? "1" : "0"},
-                         {"crashes", std::to_string(count)}});
+        return;
     }
-    if (this->crashes.has_suspicion(id))
+    if (outcome != check_outcome::open)
     {
-        // Another send broke during the check.
+        // Another send got no answer during the check.
         this->check(target);
+        return;
+    }
+    this->runtime.call_after(
+        recheck_interval,
+        [this, target]
+        {
+            if (this->crashes.has_suspicion(target->record.id))
+            {
+                this->check(target);
+            }
+        });
+}
+
+void request_engine::confirm_restarts()
+{
+    for (const auto& id : this->crashes.suspected_replicas())
+    {
+        const auto found = this->registry.all().find(id);
+        if (found != this->registry.all().end())
+        {
+            this->log_suspicions(
+                id,
+                this->crashes.on_incarnation(
+                    id, found->second->record.started_at, this->runtime.now()));
+        }
+    }
+}
+
+void request_engine::log_suspicions(
+    const std::string& replica, const std::vector<resolved_suspicion>& resolved)
+{
+    for (const auto& item : resolved)
+    {
+        const auto count =
+            this->crashes.crashes_of(item.request, this->runtime.now());
+        this->log.write(item.is_crash ? base::log_event::crash_found
+                                      : base::log_event::crash_ruled_out,
+                        {{"request", item.caller_attempt},
+                         {"replica", replica},
+                         {"fingerprint", std::to_string(item.request)},
+                         {"new", item.is_new ? "1" : "0"},
+                         {"crashes", std::to_string(count)}});
     }
 }
 
@@ -289,6 +331,7 @@
 std::vector<crash_report> request_engine::crashes_to_report()
 {
     const auto now = this->runtime.now();
+    this->confirm_restarts();
     this->crashes.expire(now);
     return this->crashes.reports_to_send(now);
 }
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -146,11 +146,13 @@
     replica_ptr choose(const std::vector<replica_ptr>& candidates,
                        base::duration stall_threshold);
     void detect_process_pause();
-    void on_broken(const replica_ptr& target,
-                   base::fingerprint request,
-                   const std::string& caller_attempt);
+    /// Checks whether a replica has ended that left a send without an answer.
+    void on_unanswered(const replica_ptr& target, unanswered_send send);
+    void confirm_restarts();
+    void log_suspicions(const std::string& replica,
+                        const std::vector<resolved_suspicion>& resolved);
     void on_check_finished(const replica_ptr& target,
-                           bool has_answered,
+                           const ports::health_report& report,
                            base::time_point asked_at);
     bool try_admit(replica& target, base::time_point now);
     [[nodiscard]] double cold_rate(const replica& target) const;
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -47,6 +47,10 @@
 /// Requests with less time left are refused at once.
 constexpr std::chrono::milliseconds min_time_left{2};
 
+/// Replicas that have not been heard of for this long after a request was sent
+/// to them are checked; longer than a usual pause.
+constexpr std::chrono::milliseconds silence_check_delay{250};
+
 /// How long a replica is not used after another one answered at its address.
 /// Its registration expires earlier unless the store is unavailable.
 constexpr std::chrono::seconds displaced_duration{5};
@@ -96,6 +100,7 @@
         return;
     }
     this->compute_deadlines();
+    this->silence_check_at = this->started + silence_check_delay;
     this->is_dispatching = true;
     this->send_first_attempts();
     this->is_dispatching = false;
@@ -270,6 +275,7 @@
     attempt.target = target;
     attempt.sent_at = now;
     attempt.is_extra = is_extra;
+    attempt.is_to_suspect = target->health.is_suspect();
     this->engine.counters.add(relay_counter::sends);
     attempt.send = this->engine.transport.send(
         target,
@@ -336,6 +342,11 @@
                        });
 }
 
+bool request_execution::is_answered(const part_state& part)
+{
+    return part.answered_at != time_point{};
+}
+
 bool request_execution::has_run_anywhere() const
 {
     for (const auto& part : this->parts)
@@ -384,6 +395,10 @@
         this->engine.counters.parts.add(elapsed);
         this->clear_crashes(attempt, outcome.answer.status);
     }
+    if (outcome.result == send_result::broken && !this->is_answered(part))
+    {
+        this->on_unanswered(attempt, false);
+    }
     if (this->is_finished || part.answer)
     {
         return;
@@ -409,11 +424,6 @@
                                 {"replica", attempt.target->record.id},
                                 {"after_ms", ms_text(elapsed)},
                                 {"reason", outcome.detail}});
-        if (outcome.result == send_result::broken)
-        {
-            this->engine.on_broken(
-                attempt.target, this->fingerprint(), this->request.message->id);
-        }
         const bool may_repeat =
             this->matched_route->is_idempotent || !attempt.may_have_run;
         const auto why = outcome.result == send_result::shed
@@ -525,6 +535,10 @@
     {
         next = std::min(next, this->partial_answer_at);
     }
+    if (this->silence_check_at > now)
+    {
+        next = std::min(next, this->silence_check_at);
+    }
     for (const auto& part : this->parts)
     {
         const bool may_hedge = this->matched_route->is_idempotent &&
@@ -575,6 +589,11 @@
         this->fail(result_code::deadline_expired, "no answer in time");
         return;
     }
+    if (now >= this->silence_check_at && !this->is_silence_checked)
+    {
+        this->is_silence_checked = true;
+        this->check_silent_replicas();
+    }
     this->is_dispatching = true;
     for (std::size_t i = 0; i < this->parts.size(); ++i)
     {
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -51,6 +51,8 @@
         replica_ptr target;
         base::time_point sent_at{};
         bool is_extra = false;
+        bool is_to_suspect = false; ///< the replica was presumed down
+        bool is_reported = false;   ///< as silent, to the crash tracker
         bool is_pending = true;
         bool may_have_run = true;
     };
@@ -83,9 +85,12 @@
     base::fingerprint fingerprint();
     /// Records that the request was answered, so its crashes had other causes.
     void clear_crashes(const attempt_state& attempt, unsigned status);
-    /// Logs an attempt that got no answer before the request ended.
-    void log_abandoned(const part_state& part,
-                       const attempt_state& attempt) const;
+    /// Ends an attempt that got no answer before the request ended.
+    void abandon(const part_state& part, attempt_state& attempt);
+    /// Checks replicas that have been silent since they were asked.
+    void check_silent_replicas();
+    /// Checks whether the attempt's replica has ended.
+    void on_unanswered(attempt_state& attempt, bool is_silent);
     void compute_deadlines();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_first_attempts();
@@ -112,6 +117,7 @@
     [[nodiscard]] bool
     is_final_failure(const ports::replica_answer& answer) const;
     [[nodiscard]] bool is_pending(const part_state& part) const;
+    [[nodiscard]] static bool is_answered(const part_state& part);
     [[nodiscard]] bool has_run_anywhere() const;
     [[nodiscard]] double extra_fraction(attempt_reason why) const;
     void check_progress();
@@ -136,6 +142,8 @@
     base::time_point started{};
     base::time_point partial_answer_at{};
     base::time_point deadline{};
+    base::time_point silence_check_at{};
+    bool is_silence_checked = false;
     ports::timer_id timer = ports::no_timer;
     bool is_finished = false;
     bool has_earlier_crashes = false; ///< in the caller's earlier attempts
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -67,6 +67,41 @@
     return true;
 }
 
+void request_execution::on_unanswered(attempt_state& attempt, bool is_silent)
+{
+    const auto alive_at = attempt.target->health.alive_at();
+    const bool is_known = attempt.is_reported && alive_at <= attempt.sent_at;
+    // A reset shows that the replica was running; one that stays silent may
+    // have been down before.
+    const bool was_down = is_silent && attempt.is_to_suspect;
+    if (!is_known && !was_down)
+    {
+        attempt.is_reported = true;
+        this->engine.on_unanswered(attempt.target,
+                                   {.request = this->fingerprint(),
+                                    .caller_attempt = this->request.message->id,
+                                    .sent_at = attempt.sent_at,
+                                    .is_silent = is_silent});
+    }
+}
+
+void request_execution::check_silent_replicas()
+{
+    for (auto& part : this->parts)
+    {
+        for (auto& attempt : part.attempts)
+        {
+            const bool is_silent =
+                attempt.is_pending && !this->is_answered(part) &&
+                attempt.target->health.alive_at() <= attempt.sent_at;
+            if (is_silent)
+            {
+                this->on_unanswered(attempt, true);
+            }
+        }
+    }
+}
+
 void request_execution::clear_crashes(const attempt_state& attempt,
                                       unsigned status)
 {
--- a/src/core/relay/request_execution_finish.cpp
+++ b/src/core/relay/request_execution_finish.cpp
@@ -78,9 +78,7 @@
             {
                 if (attempt.is_pending)
                 {
-                    self->engine.transport.cancel(attempt.send);
-                    self->settle(attempt, send_result::abandoned, 1.0);
-                    self->log_abandoned(part, attempt);
+                    self->abandon(part, attempt);
                 }
             }
         }
@@ -93,11 +91,11 @@
     this->engine.runtime.call_after(disconnect_grace, reset);
 }
 
-void request_execution::log_abandoned(const part_state& part,
-                                      const attempt_state& attempt) const
+void request_execution::abandon(const part_state& part, attempt_state& attempt)
 {
-    const bool is_answered = part.answered_at != base::time_point{};
-    if (is_answered)
+    this->engine.transport.cancel(attempt.send);
+    this->settle(attempt, send_result::abandoned, 1.0);
+    if (this->is_answered(part))
     {
         return;
     }
@@ -108,6 +106,7 @@
                             {"replica", attempt.target->record.id},
                             {"after_ms", ms_text(waited)},
                             {"reason", "no answer before the request ended"}});
+    this->on_unanswered(attempt, true);
 }
 
 void request_execution::on_caller_disconnected()
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -50,7 +50,8 @@
     replica_answer answer;             ///< valid if result is answered
     std::optional<double> utilization; ///< reported (running + waiting) / slots
     std::optional<core::base::duration> warm_up_left; ///< reported warm-up left
-    std::string detail; ///< reason of a failure, for the log
+    std::string detail;          ///< reason of a failure, for the log
+    bool is_unreachable = false; ///< no connection could be opened
 };
 
 /// @brief Outcome of a health check.
@@ -59,6 +60,10 @@
     bool has_answered = false; ///< whatever the answer says
     bool is_healthy = false;
     std::optional<core::base::duration> warm_up_left; ///< reported warm-up left
+    /// True if the replica does not run at its address: no connection could be
+    /// opened, or another replica answered. A replica that accepts connections
+    /// and does not answer may only be busy.
+    bool is_gone = false;
 };
 
 /// @brief Sends requests to replicas over persistent connections.
--- a/tests/relay/test_crash_fleet.cpp
+++ b/tests/relay/test_crash_fleet.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <deque>
 #include <optional>
 #include <set>
 
@@ -18,6 +19,9 @@
 constexpr std::size_t node_count = 8;
 constexpr std::chrono::milliseconds step{1};
 constexpr std::chrono::milliseconds report_interval{200};
+constexpr std::chrono::milliseconds check_interval{250};
+/// From the start of a replica until nodes know its registration.
+constexpr std::chrono::milliseconds registration_delay{800};
 constexpr std::chrono::milliseconds caller_timeout{1500};
 constexpr std::chrono::seconds test_length{40};
 
@@ -70,6 +74,11 @@
             {
                 this->exchange_reports();
             }
+            if (next.time_since_epoch() % check_interval == duration(0))
+            {
+                this->check_suspects();
+                this->register_restarted();
+            }
         }
     }
 
@@ -129,7 +138,7 @@
         {
             const bool is_up = this->now() >= this->up_at[replica.record.id];
             return hawthornrelay::ports::health_report{
-                is_up, is_up, std::nullopt};
+                is_up, is_up, std::nullopt, !is_up};
         };
         return node;
     }
@@ -149,6 +158,38 @@
         }
     }
 
+    void check_suspects()
+    {
+        for (const auto& node : this->nodes)
+        {
+            for (const auto& [id, replica] : node->engine.registry.all())
+            {
+                if (replica->health.is_suspect())
+                {
+                    node->engine.check(replica);
+                }
+            }
+        }
+    }
+
+    void register_restarted()
+    {
+        while (!this->restarts.empty() &&
+               this->now() >=
+                   this->restarts.front().second + registration_delay)
+        {
+            const auto [id, started_at] = this->restarts.front();
+            this->restarts.pop_front();
+            for (const auto& node : this->nodes)
+            {
+                auto record = node->engine.registry.all().at(id)->record;
+                record.started_at = static_cast<std::uint64_t>(
+                    started_at.time_since_epoch().count());
+                node->engine.registry.put(record, this->now());
+            }
+        }
+    }
+
     scripted_reply reply(std::size_t node,
                          const relay::replica& replica,
                          const std::string& request)
@@ -185,11 +226,13 @@
             this->third_crash = now;
         }
         up_at = now + this->how.downtime;
+        this->restarts.emplace_back(replica.record.id, up_at);
         return this->how.reply;
     }
 
     std::array<time_point, node_count> started_at{};
     std::map<std::string, time_point> up_at;
+    std::deque<std::pair<std::string, time_point>> restarts;
     std::size_t sent = 0;
     std::size_t crashes = 0;
     std::optional<time_point> third_crash;
@@ -368,7 +411,7 @@
         {
             const bool is_up = !both(replica);
             return hawthornrelay::ports::health_report{
-                is_up, is_up, std::nullopt};
+                is_up, is_up, std::nullopt, !is_up};
         };
     }
     for (int i = 0; i < 400; ++i)
--- a/tests/relay/test_relay_crashes.cpp
+++ b/tests/relay/test_relay_crashes.cpp
@@ -45,7 +45,7 @@
             const bool is_up = this->simulation.loop.now() >=
                                this->restarts_at[replica.record.id];
             return hawthornrelay::ports::health_report{
-                is_up, is_up, std::nullopt};
+                is_up, is_up, std::nullopt, !is_up};
         };
     }
 
@@ -205,8 +205,11 @@
     relay::crash_tracker first;
     relay::crash_tracker paused;
     const time_point begin{100s};
-    first.on_broken("r", 7, "attempt", begin);
-    BOOST_TEST(first.on_check("r", false, begin).size() == 1U);
+    first.on_unanswered(
+        "r", {.request = 7, .caller_attempt = "attempt"}, begin);
+    BOOST_TEST(
+        first.on_check("r", relay::check_outcome::gone, begin, begin).size() ==
+        1U);
     const std::vector<std::vector<relay::crash_report>> sent{
         first.reports_to_send(begin),
         first.reports_to_send(begin + 1s),
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -152,7 +152,8 @@
         this->io.run_for(600ms);
     }
 
-    /// Starts a replica that answers after `work_time`, and registers it.
+    /// Starts a replica that answers requests after `work_time` and health
+    /// checks at once, and registers it.
     void add_replica(const std::string& id, std::chrono::milliseconds work_time)
     {
         adapters::http::server_handlers handlers;
@@ -160,6 +161,11 @@
             [this, id, work_time](const request& message,
                                   const adapters::http::responder& respond)
         {
+            if (message.target == "/healthz")
+            {
+                respond({});
+                return;
+            }
             ++this->arrivals;
             const auto timer = std::make_shared<boost::asio::steady_timer>(
                 this->io, work_time);
