Let only completed answers clear a request of crashes

Cause: any answer counted as proof that the request is harmless, also one that a replica gave instead of running it.

Change: only an answer to a request that ran to its end clears it: a signed 2xx, 3xx or 4xx other than the statuses that mean "not run".

--- a/src/core/relay/crash_tracker.hpp
+++ b/src/core/relay/crash_tracker.hpp
@@ -71,7 +71,7 @@
                        unanswered_send send,
                        base::time_point now);
 
-    /// @brief Records that a replica has answered a request.
+    /// @brief Records that a replica has run a request to its end.
     /// @return the number of crashes that no longer count
     std::size_t on_answered(base::fingerprint request, base::time_point now);
 
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -67,6 +67,8 @@
                      answer.status) == not_run_statuses.end();
 }
 
+constexpr unsigned first_server_error = 500;
+
 /// One in this many searches logs the names of its replicas at its start. A
 /// search may have 60 of them, so logging all would dominate the log.
 constexpr std::uint64_t named_search_sample = 16;
@@ -342,6 +344,13 @@
                        });
 }
 
+bool request_execution::shows_completion(
+    const ports::replica_answer& answer) const
+{
+    return this->is_usable(answer) ||
+           (may_forward_failure(answer) && answer.status < first_server_error);
+}
+
 bool request_execution::is_answered(const part_state& part)
 {
     return part.answered_at != time_point{};
@@ -393,7 +402,10 @@
     {
         latency.add(elapsed);
         this->engine.counters.parts.add(elapsed);
-        this->clear_crashes(attempt, outcome.answer.status);
+        if (this->shows_completion(outcome.answer))
+        {
+            this->clear_crashes(attempt, outcome.answer.status);
+        }
     }
     if (outcome.result == send_result::broken && !this->is_answered(part))
     {
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -114,6 +114,10 @@
     void
     settle(attempt_state& attempt, send_result result, double latency_ratio);
     [[nodiscard]] bool is_usable(const ports::replica_answer& answer) const;
+    /// Tells whether the replica ran the request to its end. A server error may
+    /// come before the request has any effect on the replica.
+    [[nodiscard]] bool
+    shows_completion(const ports::replica_answer& answer) const;
     [[nodiscard]] bool
     is_final_failure(const ports::replica_answer& answer) const;
     [[nodiscard]] bool is_pending(const part_state& part) const;
