Count crashes for each part of a search

What callers saw: as before; a search that ends the replicas of one shard was sent to that shard on every repeat.

Cause: crashes were counted for the whole request, and any part's answer cleared it, so the other shards cleared the search of the crashes at the one.

Change: crashes are counted for the request and for each of its parts, and an answer clears its own part and the request. After two crashes a part is not sent; the search is answered without it, or refused if too few shards remain. Parts are reported to other nodes under a fingerprint of their own, unless the reports of their request say as much, so messages keep their form.

Three new cases show that usual requests are not withheld: while both replicas of a service are silent for seconds, while a shard's replicas crash alternately, and when the replica was down before.

--- a/src/core/relay/crash_tracker.cpp
+++ b/src/core/relay/crash_tracker.cpp
@@ -45,25 +45,42 @@
                                   unanswered_send send,
                                   time_point now)
 {
-    auto* known = this->history_for(send.request);
-    if (known == nullptr)
+    const auto& subject = send.subject;
+    this->mark_suspected(subject.request, now);
+    if (subject.part != subject.request)
     {
-        return;
+        this->mark_suspected(subject.part, now);
+        if (auto* part = this->history_for(subject.part))
+        {
+            part->request = subject.request;
+        }
     }
-    known->suspected_at = now;
     const bool is_heard =
         send.is_silent && send.replica_alive_at > send.sent_at;
     this->suspicions[replica].push_back({std::move(send), now, !is_heard});
 }
 
-std::size_t crash_tracker::on_answered(base::fingerprint request,
+void crash_tracker::mark_suspected(base::fingerprint fingerprint,
+                                   time_point now)
+{
+    if (auto* known = this->history_for(fingerprint))
+    {
+        known->suspected_at = now;
+    }
+}
+
+std::size_t crash_tracker::on_answered(const crash_subject& subject,
                                        time_point now)
 {
-    const auto cleared = this->crashes_of(request, now);
-    const auto found = this->requests.find(request);
-    if (found != this->requests.end())
+    std::size_t cleared = 0;
+    for (const auto fingerprint : {subject.request, subject.part})
     {
-        found->second.answered_at = now;
+        cleared = std::max(cleared, this->crashes_of(fingerprint, now));
+        const auto found = this->histories.find(fingerprint);
+        if (found != this->histories.end())
+        {
+            found->second.answered_at = now;
+        }
     }
     return cleared;
 }
@@ -96,7 +113,7 @@
             {
                 return std::nullopt;
             }
-            return resolved_suspicion{suspected.send.request,
+            return resolved_suspicion{suspected.send.subject,
                                       suspected.send.caller_attempt};
         });
 }
@@ -155,10 +172,13 @@
 resolved_suspicion crash_tracker::confirm(const suspicion& confirmed,
                                           time_point now)
 {
-    return {confirmed.send.request,
-            confirmed.send.caller_attempt,
-            true,
-            this->record_crash(confirmed, now)};
+    const auto& subject = confirmed.send.subject;
+    bool is_new = this->record_crash(subject.request, confirmed, now);
+    if (subject.part != subject.request)
+    {
+        is_new = this->record_crash(subject.part, confirmed, now) || is_new;
+    }
+    return {subject, confirmed.send.caller_attempt, true, is_new};
 }
 
 std::vector<crash_tracker::crash_observation>
@@ -177,15 +197,17 @@
 
 crash_tracker::history* crash_tracker::history_for(base::fingerprint request)
 {
-    const bool is_full = this->requests.size() >= max_requests &&
-                         !this->requests.contains(request);
-    return is_full ? nullptr : &this->requests[request];
+    const bool is_full = this->histories.size() >= max_requests &&
+                         !this->histories.contains(request);
+    return is_full ? nullptr : &this->histories[request];
 }
 
-bool crash_tracker::record_crash(const suspicion& confirmed, time_point now)
+bool crash_tracker::record_crash(base::fingerprint fingerprint,
+                                 const suspicion& confirmed,
+                                 time_point now)
 {
     const auto& send = confirmed.send;
-    auto* known = this->history_for(send.request);
+    auto* known = this->history_for(fingerprint);
     if (known == nullptr || known->crashes.size() >= max_crashes_per_request)
     {
         return false;
@@ -227,11 +249,11 @@
                        });
 }
 
-std::size_t crash_tracker::crashes_of(base::fingerprint request,
+std::size_t crash_tracker::crashes_of(base::fingerprint fingerprint,
                                       time_point now) const
 {
-    const auto found = this->requests.find(request);
-    if (found == this->requests.end())
+    const auto found = this->histories.find(fingerprint);
+    if (found == this->histories.end())
     {
         return 0;
     }
@@ -288,14 +310,29 @@
     }
 }
 
+bool crash_tracker::is_reported_by_request(const history& known) const
+{
+    if (!known.request)
+    {
+        return false;
+    }
+    const auto found = this->histories.find(*known.request);
+    return found != this->histories.end() &&
+           !found->second.unanswered_crashes().empty();
+}
+
 std::vector<crash_report> crash_tracker::reports_to_send(time_point now) const
 {
     std::vector<crash_report> reports;
-    for (const auto& [request, known] : this->requests)
+    for (const auto& [fingerprint, known] : this->histories)
     {
+        if (this->is_reported_by_request(known))
+        {
+            continue;
+        }
         for (const auto& crash : known.unanswered_crashes())
         {
-            reports.push_back({request, crash.number, now - crash.at});
+            reports.push_back({fingerprint, crash.number, now - crash.at});
         }
     }
     std::sort(reports.begin(),
@@ -310,7 +347,7 @@
 
 void crash_tracker::expire(time_point now)
 {
-    for (auto& [request, known] : this->requests)
+    for (auto& [request, known] : this->histories)
     {
         std::erase_if(known.crashes,
                       [now](const crash_observation& crash)
@@ -318,7 +355,7 @@
                           return now - crash.at >= crash_retention;
                       });
     }
-    std::erase_if(this->requests,
+    std::erase_if(this->histories,
                   [now](const auto& item)
                   {
                       return item.second.crashes.empty() &&
--- a/src/core/relay/crash_tracker.hpp
+++ b/src/core/relay/crash_tracker.hpp
@@ -17,15 +17,24 @@
 /// @brief A crash during a request, as reported between nodes.
 struct crash_report
 {
-    base::fingerprint request = 0;
-    std::uint64_t crash = 0; ///< identifies the crash across nodes
+    base::fingerprint request = 0; ///< or of a part of it
+    std::uint64_t crash = 0;       ///< identifies the crash across nodes
     base::duration age{};
 };
 
+/// @brief Identifies a request, and its part at one service, across the
+///        caller's attempts and across nodes.
+struct crash_subject
+{
+    base::fingerprint request = 0;
+    base::fingerprint part =
+        0; ///< equal to `request` if there is one part only
+};
+
 /// @brief A send that got no answer.
 struct unanswered_send
 {
-    base::fingerprint request = 0;
+    crash_subject subject;
     std::string caller_attempt; ///< the caller's id of its attempt
     base::time_point sent_at{};
     std::uint64_t incarnation = 0; ///< of the replica
@@ -47,7 +56,7 @@
 /// @brief What became of the suspicion that a send without an answer raised.
 struct resolved_suspicion
 {
-    base::fingerprint request = 0;
+    crash_subject subject;
     std::string caller_attempt; ///< the caller's id of its attempt
     bool is_crash = false;      ///< the replica has ended since the send
     bool is_new = false;        ///< a crash that was not recorded before
@@ -60,6 +69,9 @@
 /// is registered as a new incarnation later. All requests that waited at the
 /// replica become suspects. The one that crashes replicas differs from the
 /// others in that its crashes recur and it is never answered.
+///
+/// Crashes are counted for a whole request and for each of its parts: a search
+/// may crash the replicas of one shard while the others answer it.
 class crash_tracker
 {
   public:
@@ -71,9 +83,10 @@
                        unanswered_send send,
                        base::time_point now);
 
-    /// @brief Records that a replica has run a request to its end.
+    /// @brief Records that a replica has run a request, or its part, to its
+    ///        end.
     /// @return the number of crashes that no longer count
-    std::size_t on_answered(base::fingerprint request, base::time_point now);
+    std::size_t on_answered(const crash_subject& subject, base::time_point now);
 
     /// @brief Resolves suspicions with the outcome of a health check.
     /// @param replica the replica's id
@@ -102,15 +115,17 @@
     /// @brief Tells whether a suspicion at the replica awaits a health check.
     [[nodiscard]] bool has_suspicion(const std::string& replica) const;
 
-    /// @brief Number of crashes during a request since it was last answered.
-    ///        Crashes at about the same time count once.
-    [[nodiscard]] std::size_t crashes_of(base::fingerprint request,
+    /// @brief Number of crashes during a request, or a part, since it was last
+    ///        answered. Crashes at about the same time count once.
+    /// @param fingerprint of the request or the part
+    /// @param now the current time
+    [[nodiscard]] std::size_t crashes_of(base::fingerprint fingerprint,
                                          base::time_point now) const;
 
     /// @brief True if no request has a recorded crash or a suspicion.
     [[nodiscard]] bool is_empty() const
     {
-        return this->requests.empty();
+        return this->histories.empty();
     }
 
     /// @brief Merges reports from another node.
@@ -148,6 +163,8 @@
         std::vector<crash_observation> crashes;
         std::optional<base::time_point> answered_at;
         base::time_point suspected_at{}; ///< the last suspicion
+        /// Of a part: its request; absent if known from reports only.
+        std::optional<base::fingerprint> request;
     };
 
     /// @return the history of a request, created if missing; nullptr if the
@@ -155,9 +172,17 @@
     history* history_for(base::fingerprint request);
 
     /// @brief Records a crash detected by this node.
-    /// @return false if it is known, if the request was answered since the
-    ///         send, or if a limit is reached
-    bool record_crash(const suspicion& confirmed, base::time_point now);
+    /// @param fingerprint of the request or the part
+    /// @return false if it is known, if there was an answer since the send, or
+    ///         if a limit is reached
+    bool record_crash(base::fingerprint fingerprint,
+                      const suspicion& confirmed,
+                      base::time_point now);
+    void mark_suspected(base::fingerprint fingerprint, base::time_point now);
+
+    /// @brief Tells whether reports of a part's crashes would add nothing to
+    ///        those of its request.
+    [[nodiscard]] bool is_reported_by_request(const history& known) const;
 
     /// @brief Applies a decision to the suspicions at a replica; those that it
     ///        finds to be crashes are dropped.
@@ -170,7 +195,7 @@
     resolved_suspicion confirm(const suspicion& confirmed,
                                base::time_point now);
 
-    std::map<base::fingerprint, history> requests;
+    std::map<base::fingerprint, history> histories; ///< of requests and parts
     std::map<std::string, std::vector<suspicion>> suspicions;
 };
 
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -311,13 +311,15 @@
 {
     for (const auto& item : resolved)
     {
+        const auto now = this->runtime.now();
         const auto count =
-            this->crashes.crashes_of(item.request, this->runtime.now());
+            std::max(this->crashes.crashes_of(item.subject.request, now),
+                     this->crashes.crashes_of(item.subject.part, now));
         this->log.write(item.is_crash ? base::log_event::crash_found
                                       : base::log_event::crash_ruled_out,
                         {{"request", item.caller_attempt},
                          {"replica", replica},
-                         {"fingerprint", std::to_string(item.request)},
+                         {"fingerprint", std::to_string(item.subject.request)},
                          {"new", item.is_new ? "1" : "0"},
                          {"crashes", std::to_string(count)}});
     }
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -120,7 +120,9 @@
     {
         this->engine.extras.on_request(part.service, this->started);
         const auto usable =
-            this->engine.registry.usable(part.service, this->started);
+            part.is_withheld
+                ? std::vector<replica_ptr>()
+                : this->engine.registry.usable(part.service, this->started);
         targets.push_back(this->engine.choose(usable, this->hedge_delay()));
         part.is_failed = true;
     }
@@ -404,12 +406,12 @@
         this->engine.counters.parts.add(elapsed);
         if (this->shows_completion(outcome.answer))
         {
-            this->clear_crashes(attempt, outcome.answer.status);
+            this->clear_crashes(part, attempt, outcome.answer.status);
         }
     }
     if (outcome.result == send_result::broken && !this->is_answered(part))
     {
-        this->on_unanswered(attempt, false);
+        this->on_unanswered(part, attempt, false);
     }
     if (this->is_finished || part.answer)
     {
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -64,6 +64,8 @@
         std::optional<ports::replica_answer> answer;
         std::optional<ports::replica_answer> failure; ///< sent by a replica
         bool is_failed = false; ///< no attempt is pending or may follow
+        bool has_earlier_crashes = false; ///< in the caller's earlier attempts
+        bool is_withheld = false;         ///< for these crashes
         bool is_hedged = false;
         base::time_point hedge_at{};
         base::time_point answered_at{};
@@ -79,18 +81,23 @@
     };
 
     bool select_route();
-    /// Fails the request and returns true if the caller's earlier attempts
-    /// crashed replicas.
+    /// Withholds the parts whose replicas crashed in the caller's earlier
+    /// attempts. Fails the request and returns true if too few remain.
     bool refuse_if_crashing();
     base::fingerprint fingerprint();
+    crash_subject subject_of(const part_state& part);
     /// Records that the request was answered, so its crashes had other causes.
-    void clear_crashes(const attempt_state& attempt, unsigned status);
+    void clear_crashes(const part_state& part,
+                       const attempt_state& attempt,
+                       unsigned status);
     /// Ends an attempt that got no answer before the request ended.
     void abandon(const part_state& part, attempt_state& attempt);
     /// Checks replicas that have been silent since they were asked.
     void check_silent_replicas();
     /// Checks whether the attempt's replica has ended.
-    void on_unanswered(attempt_state& attempt, bool is_silent);
+    void on_unanswered(const part_state& part,
+                       attempt_state& attempt,
+                       bool is_silent);
     void compute_deadlines();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_first_attempts();
@@ -150,7 +157,6 @@
     bool is_silence_checked = false;
     ports::timer_id timer = ports::no_timer;
     bool is_finished = false;
-    bool has_earlier_crashes = false; ///< in the caller's earlier attempts
     std::optional<base::fingerprint> known_fingerprint;
     bool is_dispatching = false;
 };
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -43,31 +43,62 @@
     return *this->known_fingerprint;
 }
 
+crash_subject request_execution::subject_of(const part_state& part)
+{
+    const auto request = this->fingerprint();
+    return {request,
+            this->matched_route->is_search()
+                ? base::hash_of(part.service, request)
+                : request};
+}
+
 bool request_execution::refuse_if_crashing()
 {
-    auto& crashes = this->engine.crashes;
+    const auto& crashes = this->engine.crashes;
     if (crashes.is_empty())
     {
         return false;
     }
-    const auto request = this->fingerprint();
-    const auto count = crashes.crashes_of(request, this->started);
-    this->has_earlier_crashes = count > 0;
-    if (count < crash_refusal_threshold)
+    const auto of_request =
+        crashes.crashes_of(this->fingerprint(), this->started);
+    auto most = of_request;
+    std::size_t withheld = 0;
+    for (auto& part : this->parts)
+    {
+        const auto of_part =
+            crashes.crashes_of(this->subject_of(part).part, this->started);
+        const auto count = std::max(of_request, of_part);
+        part.has_earlier_crashes = count > 0;
+        part.is_withheld = count >= crash_refusal_threshold;
+        withheld += part.is_withheld ? 1 : 0;
+        most = std::max(most, of_part);
+    }
+    if (withheld == 0)
+    {
+        return false;
+    }
+    this->engine.log.write(
+        base::log_event::request_contained,
+        {{"request", this->request.message->id},
+         {"fingerprint", std::to_string(this->fingerprint())},
+         {"crashes", std::to_string(most)},
+         {"parts", std::to_string(withheld)}});
+    const auto needed = this->matched_route->is_search()
+                            ? this->matched_route->min_shards()
+                            : 1;
+    if (this->parts.size() - withheld >= needed)
     {
         return false;
     }
-    this->engine.log.write(base::log_event::request_contained,
-                           {{"request", this->request.message->id},
-                            {"fingerprint", std::to_string(request)},
-                            {"crashes", std::to_string(count)}});
     this->fail(result_code::request_quarantined,
                "the caller's earlier attempts crashed replicas",
                quarantine_retry_after);
     return true;
 }
 
-void request_execution::on_unanswered(attempt_state& attempt, bool is_silent)
+void request_execution::on_unanswered(const part_state& part,
+                                      attempt_state& attempt,
+                                      bool is_silent)
 {
     const auto alive_at = attempt.target->health.alive_at();
     const bool is_known = attempt.is_reported && alive_at <= attempt.sent_at;
@@ -78,7 +109,7 @@
     {
         attempt.is_reported = true;
         this->engine.on_unanswered(attempt.target,
-                                   {.request = this->fingerprint(),
+                                   {.subject = this->subject_of(part),
                                     .caller_attempt = this->request.message->id,
                                     .sent_at = attempt.sent_at,
                                     .is_silent = is_silent});
@@ -96,13 +127,14 @@
                 attempt.target->health.alive_at() <= attempt.sent_at;
             if (is_silent)
             {
-                this->on_unanswered(attempt, true);
+                this->on_unanswered(part, attempt, true);
             }
         }
     }
 }
 
-void request_execution::clear_crashes(const attempt_state& attempt,
+void request_execution::clear_crashes(const part_state& part,
+                                      const attempt_state& attempt,
                                       unsigned status)
 {
     auto& crashes = this->engine.crashes;
@@ -111,7 +143,7 @@
         return;
     }
     const auto cleared =
-        crashes.on_answered(this->fingerprint(), this->engine.runtime.now());
+        crashes.on_answered(this->subject_of(part), this->engine.runtime.now());
     if (cleared > 0)
     {
         this->engine.log.write(
@@ -157,7 +189,7 @@
     // more often since the request itself may crash them.
     const bool is_replica_limit_reached =
         ran.size() >= this->matched_route->max_replicas_per_attempt;
-    const bool may_crash_another = this->has_earlier_crashes && runs > 0;
+    const bool may_crash_another = part.has_earlier_crashes && runs > 0;
     if (runs > this->matched_route->max_replicas_per_attempt ||
         may_crash_another)
     {
--- a/src/core/relay/request_execution_finish.cpp
+++ b/src/core/relay/request_execution_finish.cpp
@@ -106,7 +106,7 @@
                             {"replica", attempt.target->record.id},
                             {"after_ms", ms_text(waited)},
                             {"reason", "no answer before the request ended"}});
-    this->on_unanswered(attempt, true);
+    this->on_unanswered(part, attempt, true);
 }
 
 void request_execution::on_caller_disconnected()
--- a/tests/relay/test_crash_fleet.cpp
+++ b/tests/relay/test_crash_fleet.cpp
@@ -113,6 +113,11 @@
         return *this->nodes[this->sent % node_count];
     }
 
+    void skip_node()
+    {
+        ++this->sent;
+    }
+
     /// Repeats that reached a replica although the request was to be known.
     [[nodiscard]] std::size_t late_repeats() const
     {
@@ -391,55 +396,138 @@
 
 BOOST_AUTO_TEST_SUITE(usual_requests)
 
-// A usual search goes on while both replicas of a shard are silent for seconds:
-// it is answered in whole once they are back.
-BOOST_AUTO_TEST_CASE(a_silent_shard_is_asked_again_when_it_is_back)
+// A usual request is sent on while both replicas of a service are silent for
+// seconds: it is answered, in whole, once they are back.
+BOOST_AUTO_TEST_CASE(a_silent_service_is_asked_again_when_it_is_back)
+{
+    struct usual_load
+    {
+        std::string path;
+        std::string silent_service;
+        duration gap{};
+    };
+    const std::array loads{usual_load{"/s/x", "shard3", 10ms},
+                           usual_load{"/l/x", "book", 10ms},
+                           usual_load{"/b/x", "book", 190ms}};
+    for (const auto& load : loads)
+    {
+        crash_fleet fleet(by_silence);
+        bool is_silent = true;
+        const auto is_affected = [&](const relay::replica& replica)
+        {
+            return is_silent && replica.record.service == load.silent_service;
+        };
+        fleet.other_fault = [&](const relay::replica& replica)
+        {
+            return is_affected(replica) ? std::optional(silent) : std::nullopt;
+        };
+        for (const auto& member : fleet.nodes)
+        {
+            member->replicas.health = [&](const relay::replica& replica)
+            {
+                const bool is_up = !is_affected(replica);
+                return hawthornrelay::ports::health_report{
+                    is_up, is_up, std::nullopt, !is_up};
+            };
+        }
+        for (auto left = duration(6s); left > duration(0); left -= load.gap)
+        {
+            fleet.next_node().start("q", load.path, caller_timeout);
+            fleet.skip_node();
+            fleet.run_for(load.gap);
+        }
+        is_silent = false;
+        fleet.run_for(3s);
+        for (const auto& member : fleet.nodes)
+        {
+            member->start("last", load.path, caller_timeout);
+        }
+        fleet.run_for(1s);
+        for (const auto& member : fleet.nodes)
+        {
+            const auto& answer = member->answers.at("last");
+            BOOST_TEST((answer.code == result_code::ok), load.path);
+            BOOST_TEST(answer.missing_shards == 0U);
+        }
+    }
+}
+
+// The replicas of a shard crash alternately for another reason while all
+// callers send the same search: it is answered in whole between the crashes.
+BOOST_AUTO_TEST_CASE(a_shard_that_crashes_for_other_reasons_is_not_left_out)
 {
-    crash_fleet fleet(by_silence);
-    auto& node = *fleet.nodes.front();
-    bool is_silent = true;
-    const auto both = [&](const relay::replica& replica)
+    crash_fleet fleet(by_reset);
+    const auto cycle = [&]
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            fleet.now().time_since_epoch() % 4s);
+    };
+    const auto is_down = [&](const relay::replica& replica)
     {
-        return is_silent && replica.record.service == "shard3"
-                   ? std::optional(silent)
-                   : std::nullopt;
+        const auto since = replica.record.id.ends_with("-a") ? 0ms : 2000ms;
+        return replica.record.service == "shard3" && cycle() >= since &&
+               cycle() < since + 800ms;
+    };
+    fleet.other_fault = [&](const relay::replica& replica)
+    {
+        // What is in flight at the beginning is reset.
+        const bool is_beginning = cycle() % 2000ms < 20ms;
+        return is_down(replica) ? std::optional(is_beginning ? reset : refused)
+                                : std::nullopt;
     };
-    fleet.other_fault = both;
     for (const auto& member : fleet.nodes)
     {
         member->replicas.health = [&](const relay::replica& replica)
         {
-            const bool is_up = !both(replica);
+            const bool is_up = !is_down(replica);
             return hawthornrelay::ports::health_report{
                 is_up, is_up, std::nullopt, !is_up};
         };
     }
-    for (int i = 0; i < 400; ++i)
+    std::size_t crashes = 0;
+    for (int i = 0; i < 4000; ++i)
     {
         fleet.nodes[i % node_count]->start("q" + std::to_string(i), "/s/x");
-        fleet.run_for(10ms);
+        fleet.run_for(5ms);
     }
-    is_silent = false;
-    fleet.run_for(2s);
+    fleet.run_for(1s);
     for (const auto& member : fleet.nodes)
     {
-        for (const auto& [id, replica] : member->engine.registry.all())
+        for (const auto& line : member->log.lines)
         {
-            member->engine.check(replica);
+            crashes += line.starts_with("crash_found") ? 1 : 0;
+            BOOST_TEST(!line.starts_with("request_contained"), line);
         }
     }
-    fleet.run_for(1s);
-    for (const auto& member : fleet.nodes)
+    BOOST_TEST(crashes > 0U);
+}
+
+// A node that does not repeat checks sends to a replica that is still down.
+BOOST_AUTO_TEST_CASE(a_replica_that_was_down_before_is_not_counted)
+{
+    relay_simulation node(always(silent));
+    node.replicas.health = [](const relay::replica&)
     {
-        member->start("last", "/s/x");
-    }
-    fleet.run_for(1s);
-    for (const auto& member : fleet.nodes)
+        return hawthornrelay::ports::health_report{
+            false, false, std::nullopt, true};
+    };
+    const auto count_crashes = [&node]
     {
-        BOOST_TEST((member->answers.at("last").code == result_code::ok));
-        BOOST_TEST(member->answers.at("last").missing_shards == 0U);
-    }
-    BOOST_TEST(node.answers.size() > 1U);
+        return std::count_if(node.log.lines.begin(),
+                             node.log.lines.end(),
+                             [](const std::string& line)
+                             {
+                                 return line.starts_with("crash_found");
+                             });
+    };
+    node.start("first", "/l/x", caller_timeout);
+    node.loop.run_for(4s);
+    const auto before = count_crashes();
+    BOOST_TEST(before > 0);
+    node.start("second", "/l/y", caller_timeout);
+    node.loop.run_for(4s);
+    BOOST_TEST(node.replicas.count("second") > 0U);
+    BOOST_TEST(count_crashes() == before);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/test_relay_crashes.cpp
+++ b/tests/relay/test_relay_crashes.cpp
@@ -206,7 +206,7 @@
     relay::crash_tracker paused;
     const time_point begin{100s};
     first.on_unanswered(
-        "r", {.request = 7, .caller_attempt = "attempt"}, begin);
+        "r", {.subject = {7, 7}, .caller_attempt = "attempt"}, begin);
     BOOST_TEST(
         first.on_check("r", relay::check_outcome::gone, begin, begin).size() ==
         1U);
@@ -221,7 +221,7 @@
     }
     BOOST_TEST(paused.crashes_of(7, begin + 6s) == 1U);
     // Crashes of a request that has been answered since are not reported.
-    first.on_answered(7, begin + 7s);
+    first.on_answered({7, 7}, begin + 7s);
     BOOST_TEST(first.crashes_of(7, begin + 7s) == 0U);
     BOOST_TEST(first.reports_to_send(begin + 7s).empty());
 }
