Report all crashes in turn to nodes that have just started

What callers saw: as before; nodes that restarted sent the request on again.

Cause: a beacon holds 16 reports, and they were the 16 newest crashes. While many requests met crashes, a node that had just started was never told of the request that others refused.

Change: eight reports are the newest, which must spread at once; the others are sent in turn, so that all are sent within seconds.

--- a/src/core/relay/crash_tracker.cpp
+++ b/src/core/relay/crash_tracker.cpp
@@ -29,6 +29,10 @@
 /// Limited so that a beacon fits into a datagram.
 constexpr std::size_t max_reports_per_message = 16;
 
+/// Reports of a message that are reserved for the newest crashes, which must
+/// spread at once.
+constexpr std::ptrdiff_t newest_reports_per_message = 8;
+
 /// Memory limits; requests and crashes beyond them are not recorded.
 constexpr std::size_t max_requests = 4096;
 constexpr std::size_t max_crashes_per_request = 16;
@@ -321,7 +325,7 @@
            !found->second.unanswered_crashes().empty();
 }
 
-std::vector<crash_report> crash_tracker::reports_to_send(time_point now) const
+std::vector<crash_report> crash_tracker::reports_to_send(time_point now)
 {
     std::vector<crash_report> reports;
     for (const auto& [fingerprint, known] : this->histories)
@@ -335,13 +339,25 @@
             reports.push_back({fingerprint, crash.number, now - crash.at});
         }
     }
+    if (reports.size() <= max_reports_per_message)
+    {
+        return reports;
+    }
     std::sort(reports.begin(),
               reports.end(),
               [](const auto& left, const auto& right)
               {
                   return left.age < right.age;
               });
-    reports.resize(std::min(reports.size(), max_reports_per_message));
+    const auto others = std::next(reports.begin(), newest_reports_per_message);
+    const auto offset = this->reports_sent_in_turn %
+                        static_cast<std::size_t>(reports.end() - others);
+    std::rotate(others,
+                std::next(others, static_cast<std::ptrdiff_t>(offset)),
+                reports.end());
+    this->reports_sent_in_turn +=
+        max_reports_per_message - newest_reports_per_message;
+    reports.resize(max_reports_per_message);
     return reports;
 }
 
--- a/src/core/relay/crash_tracker.hpp
+++ b/src/core/relay/crash_tracker.hpp
@@ -131,10 +131,11 @@
     /// @brief Merges reports from another node.
     void merge(const std::vector<crash_report>& reports, base::time_point now);
 
-    /// @brief Reports for other nodes: the newest crashes of requests that have
-    ///        not been answered since.
+    /// @brief Reports for other nodes on requests that have not been answered
+    ///        since: the newest crashes, and the others in turn over several
+    ///        calls, so that a node which has just started learns of all.
     [[nodiscard]] std::vector<crash_report>
-    reports_to_send(base::time_point now) const;
+    reports_to_send(base::time_point now);
 
     /// @brief Drops expired crashes and suspicions.
     void expire(base::time_point now);
@@ -197,6 +198,7 @@
 
     std::map<base::fingerprint, history> histories; ///< of requests and parts
     std::map<std::string, std::vector<suspicion>> suspicions;
+    std::size_t reports_sent_in_turn = 0;
 };
 
 } // namespace hawthornrelay::core::relay
