Store refusals of requests that crash replicas, so that a restart of all nodes keeps them

What callers saw: as before; after a restart of all nodes the request was sent on until it had ended two more replicas.

Cause: crashes were known to the running processes only.

Change: a node that begins to refuse a request, or a part of a search, writes its fingerprint to the store, bound to a lease of the two minutes for which crashes count. All nodes read it with their mirror.

On real sockets: test_relay_process, a_request_that_crashes_replicas_is_refused_after_a_restart.

Seen once in ctest: a_replica_that_left_during_a_restart_gets_nothing, a node did not start; not seen in three more runs. Being traced.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -14,10 +14,12 @@
 #include <adapters/relay/replica_pool.hpp>
 #include <adapters/relay/store_change_handler.hpp>
 #include <core/relay/entry_choice.hpp>
+#include <core/relay/quarantine_writer.hpp>
 #include <core/relay/request_engine.hpp>
 #include <core/relay/store_follower.hpp>
 #include <core/relay/store_mirror.hpp>
 #include <platform/caller_wire.hpp>
+#include <platform/names.hpp>
 #include <platform/store_client.hpp>
 
 namespace hawthornrelay::adapters::relay
@@ -84,6 +86,10 @@
                 {
                     this->engine.counters.add(relay_counter::store_calls);
                 }),
+          quarantine(this->runtime,
+                     this->store,
+                     this->log,
+                     std::string(platform::names::quarantine_prefix)),
           mirror(
               [this](const ports::store_item& item)
               {
@@ -148,6 +154,10 @@
         {
             this->engine.on_possible_restart(target);
         };
+        this->engine.on_quarantined = [this](core::base::fingerprint refused)
+        {
+            this->quarantine.write(refused);
+        };
         auto opened = this->open_listeners();
         if (!opened)
         {
@@ -201,6 +211,7 @@
     replica_pool pool;
     core::relay::request_engine engine;
     platform::store_client store;
+    core::relay::quarantine_writer quarantine;
     core::relay::store_mirror mirror;
     peer_feed feed;
     core::relay::store_follower follower;
--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <core/relay/quarantine_writer.hpp>
 #include <platform/decode.hpp>
 #include <platform/names.hpp>
 
@@ -102,6 +103,27 @@
     {
         this->on_node(*name, item);
     }
+    else if (const auto text = strip_prefix(item.key, names::quarantine_prefix))
+    {
+        this->on_quarantine(*text, item);
+    }
+}
+
+void store_change_handler::on_quarantine(const std::string& text,
+                                         const ports::store_item& item)
+{
+    const auto refused = core::relay::read_quarantine_key(text);
+    if (!refused)
+    {
+        this->log.write(log_event::bad_input,
+                        {{"key", item.key}, {"error", refused.error().detail}});
+        return;
+    }
+    this->engine.set_quarantined(*refused, !item.is_removed);
+    this->log.write(item.is_removed ? log_event::quarantine_ended
+                                    : log_event::quarantine_known,
+                    {{"fingerprint", std::to_string(*refused)},
+                     {"revision", std::to_string(item.revision)}});
 }
 
 void store_change_handler::on_configuration(const ports::store_item& item)
--- a/src/adapters/relay/store_change_handler.hpp
+++ b/src/adapters/relay/store_change_handler.hpp
@@ -39,6 +39,7 @@
     void on_configuration(const ports::store_item& item);
     void on_replica(const std::string& id, const ports::store_item& item);
     void on_node(const std::string& name, const ports::store_item& item);
+    void on_quarantine(const std::string& text, const ports::store_item& item);
 
     ports::runtime& runtime;
     core::relay::request_engine& engine;
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -109,6 +109,10 @@
         log_event::request_contained, "request_contained", log_level::warning},
     event_row{log_event::crash_ruled_out, "crash_ruled_out", log_level::info},
     event_row{log_event::crashes_cleared, "crashes_cleared", log_level::info},
+    event_row{
+        log_event::quarantine_written, "quarantine_written", log_level::info},
+    event_row{log_event::quarantine_known, "quarantine_known", log_level::info},
+    event_row{log_event::quarantine_ended, "quarantine_ended", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -95,6 +95,9 @@
     request_contained = 1057,
     crash_ruled_out = 1058,
     crashes_cleared = 1059,
+    quarantine_written = 1060,
+    quarantine_known = 1061,
+    quarantine_ended = 1062,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/crash_tracker.cpp
+++ b/src/core/relay/crash_tracker.cpp
@@ -15,9 +15,6 @@
 namespace
 {
 
-/// How long a crash counts against a request.
-constexpr std::chrono::minutes crash_retention{2};
-
 /// Crashes closer together than this may be one crash seen by several attempts,
 /// on one node or on several.
 constexpr std::chrono::seconds same_crash_interval{1};
@@ -280,6 +277,32 @@
     return distinct.size();
 }
 
+bool crash_tracker::must_refuse(base::fingerprint fingerprint,
+                                time_point now) const
+{
+    const auto found = this->quarantined_until.find(fingerprint);
+    const bool is_quarantined =
+        found != this->quarantined_until.end() && now < found->second;
+    return is_quarantined ||
+           this->crashes_of(fingerprint, now) >= crashes_to_refuse;
+}
+
+bool crash_tracker::quarantine(base::fingerprint fingerprint, time_point now)
+{
+    auto& until = this->quarantined_until[fingerprint];
+    const bool is_new = until <= now;
+    if (is_new)
+    {
+        until = now + crash_retention;
+    }
+    return is_new;
+}
+
+void crash_tracker::release(base::fingerprint fingerprint)
+{
+    this->quarantined_until.erase(fingerprint);
+}
+
 void crash_tracker::merge(const std::vector<crash_report>& reports,
                           time_point now)
 {
@@ -363,6 +386,11 @@
 
 void crash_tracker::expire(time_point now)
 {
+    std::erase_if(this->quarantined_until,
+                  [now](const auto& item)
+                  {
+                      return item.second <= now;
+                  });
     for (auto& [request, known] : this->histories)
     {
         std::erase_if(known.crashes,
--- a/src/core/relay/crash_tracker.hpp
+++ b/src/core/relay/crash_tracker.hpp
@@ -14,6 +14,13 @@
 namespace hawthornrelay::core::relay
 {
 
+/// How long a crash counts against a request.
+constexpr std::chrono::minutes crash_retention{2};
+
+/// Crashes since the last answer after which a request is not sent any more. A
+/// single crash may be caused by another request on the same replica.
+constexpr std::size_t crashes_to_refuse = 2;
+
 /// @brief A crash during a request, as reported between nodes.
 struct crash_report
 {
@@ -122,10 +129,26 @@
     [[nodiscard]] std::size_t crashes_of(base::fingerprint fingerprint,
                                          base::time_point now) const;
 
-    /// @brief True if no request has a recorded crash or a suspicion.
+    /// @brief Tells whether a request, or a part, must not be sent.
+    /// @param fingerprint of the request or the part
+    /// @param now the current time
+    [[nodiscard]] bool must_refuse(base::fingerprint fingerprint,
+                                   base::time_point now) const;
+
+    /// @brief Refuses a request, or a part, for as long as crashes count.
+    /// @param fingerprint of the request or the part
+    /// @param now the current time
+    /// @return false if it is quarantined already
+    bool quarantine(base::fingerprint fingerprint, base::time_point now);
+
+    /// @brief Ends a quarantine.
+    void release(base::fingerprint fingerprint);
+
+    /// @brief True if no request has a recorded crash, a suspicion or a
+    ///        quarantine.
     [[nodiscard]] bool is_empty() const
     {
-        return this->histories.empty();
+        return this->histories.empty() && this->quarantined_until.empty();
     }
 
     /// @brief Merges reports from another node.
@@ -198,6 +221,7 @@
 
     std::map<base::fingerprint, history> histories; ///< of requests and parts
     std::map<std::string, std::vector<suspicion>> suspicions;
+    std::map<base::fingerprint, base::time_point> quarantined_until;
     std::size_t reports_sent_in_turn = 0;
 };
 
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -322,6 +322,35 @@
                          {"fingerprint", std::to_string(item.subject.request)},
                          {"new", item.is_new ? "1" : "0"},
                          {"crashes", std::to_string(count)}});
+        const auto& refused =
+            this->crashes.must_refuse(item.subject.request, now)
+                ? item.subject.request
+                : item.subject.part;
+        if (item.is_new && this->crashes.must_refuse(refused, now))
+        {
+            this->quarantine(refused);
+        }
+    }
+}
+
+void request_engine::quarantine(base::fingerprint refused)
+{
+    if (this->crashes.quarantine(refused, this->runtime.now()) &&
+        this->on_quarantined)
+    {
+        this->on_quarantined(refused);
+    }
+}
+
+void request_engine::set_quarantined(base::fingerprint refused, bool is_refused)
+{
+    if (is_refused)
+    {
+        this->crashes.quarantine(refused, this->runtime.now());
+    }
+    else
+    {
+        this->crashes.release(refused);
     }
 }
 
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -125,6 +125,16 @@
     /// @brief Crash reports to send to other nodes.
     [[nodiscard]] std::vector<crash_report> crashes_to_report();
 
+    /// @brief Called with the fingerprint of a request, or a part, that is
+    ///        refused from now on.
+    std::function<void(base::fingerprint)> on_quarantined;
+
+    /// @brief Applies a refusal that another node, or an earlier process, has
+    ///        stored.
+    /// @param refused fingerprint of the request or part
+    /// @param is_refused false if the refusal has ended
+    void set_quarantined(base::fingerprint refused, bool is_refused);
+
     /// @brief Number of requests without an answer.
     [[nodiscard]] std::size_t active() const
     {
@@ -149,6 +159,8 @@
     /// Checks whether a replica has ended that left a send without an answer.
     void on_unanswered(const replica_ptr& target, unanswered_send send);
     void confirm_restarts();
+    /// Refuses a request or part from now on, on all nodes.
+    void quarantine(base::fingerprint refused);
     void log_suspicions(const std::string& replica,
                         const std::vector<resolved_suspicion>& resolved);
     void on_check_finished(const replica_ptr& target,
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -20,10 +20,6 @@
 /// for parts that have no attempt in flight.
 constexpr double hedge_fraction = 0.9;
 
-/// A request is refused after this many crashes since it was last answered. A
-/// single crash may be caused by another request on the same replica.
-constexpr std::size_t crash_refusal_threshold = 2;
-
 /// Retry-After of a request refused for crashes. Crashes count for two minutes;
 /// a shorter delay lets callers resume sooner once the fault is fixed.
 constexpr std::chrono::seconds quarantine_retry_after{60};
@@ -59,17 +55,26 @@
     {
         return false;
     }
-    const auto of_request =
-        crashes.crashes_of(this->fingerprint(), this->started);
+    const auto request = this->fingerprint();
+    const bool is_request_refused = crashes.must_refuse(request, this->started);
+    const auto of_request = crashes.crashes_of(request, this->started);
+    if (is_request_refused)
+    {
+        this->engine.quarantine(request);
+    }
     auto most = of_request;
     std::size_t withheld = 0;
     for (auto& part : this->parts)
     {
-        const auto of_part =
-            crashes.crashes_of(this->subject_of(part).part, this->started);
-        const auto count = std::max(of_request, of_part);
-        part.has_earlier_crashes = count > 0;
-        part.is_withheld = count >= crash_refusal_threshold;
+        const auto subject = this->subject_of(part);
+        const auto of_part = crashes.crashes_of(subject.part, this->started);
+        part.has_earlier_crashes = of_request + of_part > 0;
+        part.is_withheld = is_request_refused ||
+                           crashes.must_refuse(subject.part, this->started);
+        if (part.is_withheld && !is_request_refused)
+        {
+            this->engine.quarantine(subject.part);
+        }
         withheld += part.is_withheld ? 1 : 0;
         most = std::max(most, of_part);
     }
--- a/tests/relay/test_crash_fleet.cpp
+++ b/tests/relay/test_crash_fleet.cpp
@@ -42,7 +42,8 @@
 const ending by_reset{{send_result::broken, 1ms}, 1ms};
 const ending by_silence{silent, 250ms};
 
-/// Nodes that report crashes to each other, in front of the same replicas.
+/// Nodes that report crashes to each other and store refusals, in front of the
+/// same replicas.
 class crash_fleet
 {
   public:
@@ -86,6 +87,10 @@
     {
         auto started = this->start_node(index);
         started->loop.run_until(this->now());
+        for (const auto refused : this->stored_refusals)
+        {
+            started->engine.set_quarantined(refused, true);
+        }
         this->nodes[index] = std::move(started);
         this->started_at.at(index) = this->now();
     }
@@ -145,6 +150,10 @@
             return hawthornrelay::ports::health_report{
                 is_up, is_up, std::nullopt, !is_up};
         };
+        node->engine.on_quarantined = [this](std::uint64_t refused)
+        {
+            this->stored_refusals.insert(refused);
+        };
         return node;
     }
 
@@ -238,6 +247,7 @@
     std::array<time_point, node_count> started_at{};
     std::map<std::string, time_point> up_at;
     std::deque<std::pair<std::string, time_point>> restarts;
+    std::set<std::uint64_t> stored_refusals;
     std::size_t sent = 0;
     std::size_t crashes = 0;
     std::optional<time_point> third_crash;
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -592,6 +592,42 @@
     BOOST_TEST(served > 0U);
 }
 
+// Guards against: after a restart of all nodes, a request that crashes replicas
+// is sent to them again.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_replicas_is_refused_after_a_restart)
+{
+    std::vector<std::string> refusals;
+    {
+        relay_cluster cluster;
+        for (int crash = 0; crash < 2; ++crash)
+        {
+            cluster.replicas.back()->close();
+            cluster.add_replica("r-1", 5000ms);
+            cluster.io.run_for(1200ms);
+            cluster.send_query("/one/x");
+            cluster.io.run_for(50ms);
+            BOOST_TEST(cluster.arrivals == crash + 1U);
+            cluster.replicas.back()->close();
+            cluster.io.run_for(300ms);
+        }
+        refusals = cluster.store.keys_with("quarantine/");
+        BOOST_TEST_REQUIRE(refusals.size() == 1U);
+    }
+    relay_cluster restarted;
+    restarted.store.write(refusals.front(), "{}");
+    restarted.io.run_for(300ms);
+    restarted.send_query("/one/x");
+    restarted.send_query("/one/y");
+    restarted.io.run_for(200ms);
+    BOOST_TEST(restarted.count(503) == 1U);
+    BOOST_TEST(restarted.count(200) == 1U);
+    restarted.store.remove(refusals.front());
+    restarted.io.run_for(300ms);
+    restarted.send_query("/one/x");
+    restarted.io.run_for(200ms);
+    BOOST_TEST(restarted.count(200) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(running_work_of_a_lapsed_registration_is_delivered_once)
 {
     relay_cluster cluster;
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -69,6 +69,20 @@
         return this->items.contains(key);
     }
 
+    [[nodiscard]] std::vector<std::string>
+    keys_with(const std::string& prefix) const
+    {
+        std::vector<std::string> result;
+        for (const auto& [key, item] : this->items)
+        {
+            if (key.starts_with(prefix))
+            {
+                result.push_back(key);
+            }
+        }
+        return result;
+    }
+
     bool is_silent = false;       ///< leaves all calls unanswered
     unsigned refusal_status = 0;  ///< HTTP status for every call; 0: none
     unsigned answers_to_lose = 0; ///< number of writes done without an answer
