Test: nodes of test_relay_process listen on addresses of their own

Seen once in ctest: a_replica_that_left_during_a_restart_gets_nothing, a node did not start. With the error in the check's message and ten suites at a time, three runs each: 4 of 30 failed with "Address already in use".

Cause: a port that was free on 127.0.0.1 is taken as the source of another process's connection before the node listens on it.

Change: each process uses a loopback address of its own. The same thirty runs: no such failure.

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -3,8 +3,11 @@
 #define BOOST_TEST_MODULE relay_process
 #include <boost/test/unit_test.hpp>
 
+#include <unistd.h>
+
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <fmt/format.h>
 
 #include <adapters/http/client.hpp>
 #include <adapters/relay/relay_node.hpp>
@@ -26,10 +29,22 @@
 namespace json = boost::json;
 using answer = core::base::result<response>;
 
-std::uint16_t free_port(boost::asio::io_context& io)
+/// A loopback address that only this process uses. On 127.0.0.1 another process
+/// may take a port as the source of a connection before a node listens on it.
+std::string own_address()
+{
+    const auto number = static_cast<unsigned>(getpid());
+    return fmt::format("127.{}.{}.{}",
+                       1 + number / 62500 % 250,
+                       1 + number / 250 % 250,
+                       1 + number % 250);
+}
+
+core::relay::socket_address free_address(boost::asio::io_context& io)
 {
-    const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
-    return tcp::acceptor(io, any).local_endpoint().port();
+    const auto ip = own_address();
+    const tcp::endpoint any(boost::asio::ip::make_address(ip), 0);
+    return {ip, tcp::acceptor(io, any).local_endpoint().port()};
 }
 
 /// Answers each chunk of bytes that it reads with the same raw reply.
@@ -249,7 +264,7 @@
                               &settings.peers,
                               &settings.metrics})
         {
-            *address = {"127.0.0.1", free_port(this->io)};
+            *address = free_address(this->io);
         }
         settings.store = {"127.0.0.1", this->store.port()};
         for (const auto& other : this->settings)
@@ -259,7 +274,9 @@
         this->settings.push_back(settings);
         this->nodes.push_back(
             adapters::relay::relay_node::create(this->io, settings));
-        BOOST_TEST_REQUIRE(this->nodes.back()->start().has_value());
+        const auto started = this->nodes.back()->start();
+        BOOST_TEST_REQUIRE(started.has_value(),
+                           (started ? "" : started.error().detail));
     }
 
     /// Sends a caller's request to a node; the answer is added to `answers`.
@@ -316,8 +333,8 @@
                          std::chrono::milliseconds wait)
     {
         tcp::socket socket(this->io);
-        socket.connect({boost::asio::ip::make_address("127.0.0.1"),
-                        this->settings.front().caller_address.port});
+        const auto& node = this->settings.front().caller_address;
+        socket.connect({boost::asio::ip::make_address(node.ip), node.port});
         boost::asio::write(socket, boost::asio::buffer(bytes));
         this->io.run_for(wait);
         std::string text(4096, '\0');
