Test: a node that restarts runs on an io_context that ends with it

With the address sanitizer: an answer of the store reaches a node that the test has destroyed while its io_context runs on. A program never does this: a node ends with its process.

Change: the test gives the node an io_context of its own and ends both.

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -252,31 +252,58 @@
 
     void add_node(const std::string& name)
     {
-        core::relay::relay_settings settings;
-        settings.node_name = name;
-        settings.zone = "z";
-        settings.stop_grace = 1000ms;
-        settings.extra_slack = 56;
-        settings.millicores = 500;
-        for (auto* address : {&settings.caller_address,
-                              &settings.readiness,
-                              &settings.directory,
-                              &settings.peers,
-                              &settings.metrics})
+        this->settings.push_back(this->make_settings(name));
+        this->nodes.push_back(
+            this->start_node(this->io, this->settings.back()));
+    }
+
+    core::relay::relay_settings make_settings(const std::string& name)
+    {
+        core::relay::relay_settings result;
+        result.node_name = name;
+        result.zone = "z";
+        result.stop_grace = 1000ms;
+        result.extra_slack = 56;
+        result.millicores = 500;
+        for (auto* address : {&result.caller_address,
+                              &result.readiness,
+                              &result.directory,
+                              &result.peers,
+                              &result.metrics})
         {
             *address = free_address(this->io);
         }
-        settings.store = {"127.0.0.1", this->store.port()};
+        result.store = {"127.0.0.1", this->store.port()};
         for (const auto& other : this->settings)
         {
-            settings.seeds.push_back(other.peers.text());
+            result.seeds.push_back(other.peers.text());
         }
-        this->settings.push_back(settings);
-        this->nodes.push_back(
-            adapters::relay::relay_node::create(this->io, settings));
-        const auto started = this->nodes.back()->start();
+        return result;
+    }
+
+    static std::unique_ptr<adapters::relay::relay_node>
+    start_node(boost::asio::io_context& io,
+               const core::relay::relay_settings& settings)
+    {
+        auto node = adapters::relay::relay_node::create(io, settings);
+        const auto started = node->start();
         BOOST_TEST_REQUIRE(started.has_value(),
                            (started ? "" : started.error().detail));
+        return node;
+    }
+
+    void run_for(std::chrono::milliseconds time)
+    {
+        const auto until = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < until)
+        {
+            this->io.run_for(1ms);
+            if (this->restartable_io != nullptr)
+            {
+                this->restartable_io->restart();
+                this->restartable_io->poll();
+            }
+        }
     }
 
     /// Sends a caller's request to a node; the answer is added to `answers`.
@@ -311,7 +338,7 @@
         request message;
         message.target = target;
         this->send(from, std::move(message));
-        this->io.run_for(100ms);
+        this->run_for(100ms);
         BOOST_TEST_REQUIRE(this->answers.size() == before + 1);
         return this->answers.back();
     }
@@ -345,6 +372,9 @@
     }
 
     boost::asio::io_context io;
+    /// Runs a node that a test restarts: what waits for its sockets ends with
+    /// it, as with a process.
+    std::unique_ptr<boost::asio::io_context> restartable_io;
     platform_store store;
     std::vector<std::unique_ptr<adapters::http::server>> replicas;
     std::vector<core::relay::relay_settings> settings;
@@ -567,16 +597,18 @@
 
 BOOST_AUTO_TEST_CASE(a_restarted_entry_serves_callers_at_once)
 {
-    relay_cluster cluster(2);
-    cluster.io.run_for(600ms);
+    relay_cluster cluster(1);
+    const auto settings = cluster.make_settings("node-1");
+    cluster.restartable_io = std::make_unique<boost::asio::io_context>();
+    auto node = relay_cluster::start_node(*cluster.restartable_io, settings);
+    cluster.run_for(1200ms);
     BOOST_TEST_REQUIRE(cluster.store.has("nodes/node-1"));
-    cluster.nodes[1].reset();
-    cluster.nodes[1] =
-        adapters::relay::relay_node::create(cluster.io, cluster.settings[1]);
-    BOOST_TEST_REQUIRE(cluster.nodes[1]->start().has_value());
-    cluster.io.run_for(100ms);
-    const auto page = cluster.get(cluster.settings[1].directory,
-                                  "/v1/resolve?name=h.example&zone=z");
+    node.reset();
+    cluster.restartable_io = std::make_unique<boost::asio::io_context>();
+    node = relay_cluster::start_node(*cluster.restartable_io, settings);
+    cluster.run_for(100ms);
+    const auto page =
+        cluster.get(settings.directory, "/v1/resolve?name=h.example&zone=z");
     BOOST_TEST(json::parse(page->body).at("addrs").as_array().size() == 2U);
 }
 
