Test: give no port to two servers of one test process

Seen: two of thirty runs, ten at a time, on an address that no other process uses: "Address already in use".

Cause: a port is free until a node listens on it, so the next call can return it again, for another server of the same node.

Change: a port is handed out once.

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -3,6 +3,8 @@
 #define BOOST_TEST_MODULE relay_process
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 #include <unistd.h>
 
 #include <boost/asio.hpp>
@@ -40,11 +42,19 @@
                        1 + number % 250);
 }
 
+/// An address that no earlier call has returned: its port is free only until a
+/// node listens on it.
 core::relay::socket_address free_address(boost::asio::io_context& io)
 {
+    static std::set<std::uint16_t> used_ports;
     const auto ip = own_address();
     const tcp::endpoint any(boost::asio::ip::make_address(ip), 0);
-    return {ip, tcp::acceptor(io, any).local_endpoint().port()};
+    std::uint16_t port = 0;
+    do
+    {
+        port = tcp::acceptor(io, any).local_endpoint().port();
+    } while (!used_ports.insert(port).second);
+    return {ip, port};
 }
 
 /// Answers each chunk of bytes that it reads with the same raw reply.
