Let requests without a crash give way to a crash when the tracker is full

Found while looking for the same cause elsewhere: the tracker remembers 4,096 requests and ignored further ones. Every send without an answer is remembered for ten seconds, so a loss of many answers would have left no room for the request that crashes replicas.

Change: a request without a recorded crash is dropped for a new one, and of a replica's sends without an answer the newest 64 are kept.

Evidence: test_relay_crashes, many_lost_answers_leave_room_for_crashes fails without the change (0 crashes recorded of 1).

--- a/src/core/relay/crash_tracker.cpp
+++ b/src/core/relay/crash_tracker.cpp
@@ -30,10 +30,17 @@
 /// spread at once.
 constexpr std::ptrdiff_t newest_reports_per_message = 8;
 
-/// Memory limits; requests and crashes beyond them are not recorded.
-constexpr std::size_t max_requests = 4096;
+/// Memory limits. A request without a crash gives way to another one; crashes
+/// beyond the limits are not recorded.
+constexpr std::size_t max_histories = 4096;
 constexpr std::size_t max_crashes_per_request = 16;
 
+/// A replica that loses many answers without ending leaves the newest.
+constexpr std::size_t max_suspicions_per_replica = 64;
+
+/// Histories that are looked at to find one that can be dropped.
+constexpr std::size_t max_eviction_candidates = 64;
+
 bool is_same_time(time_point left, time_point right)
 {
     return left - right < same_crash_interval &&
@@ -58,7 +65,12 @@
     }
     const bool is_heard =
         send.is_silent && send.replica_alive_at > send.sent_at;
-    this->suspicions[replica].push_back({std::move(send), now, !is_heard});
+    auto& at_replica = this->suspicions[replica];
+    if (at_replica.size() >= max_suspicions_per_replica)
+    {
+        at_replica.erase(at_replica.begin());
+    }
+    at_replica.push_back({std::move(send), now, !is_heard});
 }
 
 void crash_tracker::mark_suspected(base::fingerprint fingerprint,
@@ -196,11 +208,40 @@
     return result;
 }
 
-crash_tracker::history* crash_tracker::history_for(base::fingerprint request)
+crash_tracker::history*
+crash_tracker::history_for(base::fingerprint fingerprint)
+{
+    const auto found = this->histories.find(fingerprint);
+    if (found != this->histories.end())
+    {
+        return &found->second;
+    }
+    if (this->histories.size() >= max_histories &&
+        !this->make_room(fingerprint))
+    {
+        return nullptr;
+    }
+    return &this->histories[fingerprint];
+}
+
+bool crash_tracker::make_room(base::fingerprint fingerprint)
 {
-    const bool is_full = this->histories.size() >= max_requests &&
-                         !this->histories.contains(request);
-    return is_full ? nullptr : &this->histories[request];
+    // Fingerprints are evenly distributed, so this is a random sample.
+    auto candidate = this->histories.lower_bound(fingerprint);
+    for (std::size_t i = 0; i < max_eviction_candidates; ++i)
+    {
+        if (candidate == this->histories.end())
+        {
+            candidate = this->histories.begin();
+        }
+        if (candidate->second.crashes.empty())
+        {
+            this->histories.erase(candidate);
+            return true;
+        }
+        ++candidate;
+    }
+    return false;
 }
 
 bool crash_tracker::record_crash(base::fingerprint fingerprint,
--- a/src/core/relay/crash_tracker.hpp
+++ b/src/core/relay/crash_tracker.hpp
@@ -191,9 +191,12 @@
         std::optional<base::fingerprint> request;
     };
 
-    /// @return the history of a request, created if missing; nullptr if the
-    ///         limit is reached
-    history* history_for(base::fingerprint request);
+    /// @return the history of a request or part, created if missing; nullptr
+    ///         if the limit is reached
+    history* history_for(base::fingerprint fingerprint);
+    /// Drops a history without crashes.
+    /// @return false if none was found
+    bool make_room(base::fingerprint fingerprint);
 
     /// @brief Records a crash detected by this node.
     /// @param fingerprint of the request or the part
--- a/tests/relay/test_relay_crashes.cpp
+++ b/tests/relay/test_relay_crashes.cpp
@@ -226,6 +226,22 @@
     BOOST_TEST(first.reports_to_send(begin + 7s).empty());
 }
 
+// Guards against: after many sends without an answer, crashes are not recorded.
+BOOST_AUTO_TEST_CASE(many_lost_answers_leave_room_for_crashes)
+{
+    relay::crash_tracker tracker;
+    const time_point begin{100s};
+    for (std::uint64_t i = 0; i < 10000; ++i)
+    {
+        const auto request = i << 50U;
+        tracker.on_unanswered(
+            "r", {.subject = {request + i, request + i}}, begin);
+    }
+    tracker.on_unanswered("crashed", {.subject = {7, 7}}, begin);
+    tracker.on_check("crashed", relay::check_outcome::gone, begin, begin);
+    BOOST_TEST(tracker.crashes_of(7, begin) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(it_is_tried_again_after_two_minutes)
 {
     crashing_replicas fixture;
