--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -247,7 +247,8 @@
                              has_answered && outcome.answer.status == 200,
                              outcome.warm_up_left,
                              outcome.is_unreachable ||
-                                 outcome.result == send_result::other_replica});
+                                 outcome.result == send_result::other_replica,
+                             outcome.rate_limit});
                    });
     timer->expires_after(probe_timeout);
     timer->async_wait(
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -85,6 +85,9 @@
         log_event::replica_recovered, "replica_recovered", log_level::info},
     event_row{log_event::zone_out, "zone_out", log_level::info},
     event_row{log_event::zone_back, "zone_back", log_level::info},
+    event_row{log_event::replica_limited, "replica_limited", log_level::info},
+    event_row{
+        log_event::replica_limit_ended, "replica_limit_ended", log_level::info},
     event_row{log_event::store_lost, "store_lost", log_level::warning},
     event_row{log_event::store_regained, "store_regained", log_level::info},
     event_row{log_event::source_chosen, "source_chosen", log_level::info},
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -72,6 +72,8 @@
     replica_recovered = 1026,
     zone_out = 1027,
     zone_back = 1028,
+    replica_limited = 1029,
+    replica_limit_ended = 1030,
     store_lost = 1031,
     store_regained = 1032,
     source_chosen = 1033,
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -31,6 +31,9 @@
     /// Nothing is sent to it before this time, since another replica answered
     /// at its address.
     base::time_point displaced_until{};
+    /// Requests a second that it takes from all nodes together, as long as it
+    /// says so in its answers.
+    std::optional<double> rate_limit;
     /// Times of recent sends, for the bound on cold replicas.
     std::vector<base::time_point> recent_sends;
 };
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include <core/relay/request_execution.hpp>
 
 namespace hawthornrelay::core::relay
@@ -226,6 +228,10 @@
         {
             target->is_being_checked = false;
             this->on_check_finished(target, report, asked_at);
+            if (report.rate_limit)
+            {
+                this->on_rate_limit(target, report.rate_limit);
+            }
             const bool was_suspect = target->health.is_suspect();
             target->health.on_check(
                 report.has_answered, report.is_healthy, this->runtime.now());
@@ -367,6 +373,29 @@
     return this->crashes.reports_to_send(now);
 }
 
+void request_engine::on_rate_limit(const replica_ptr& target,
+                                   std::optional<double> limit)
+{
+    if (target->rate_limit == limit)
+    {
+        return;
+    }
+    target->rate_limit = limit;
+    if (limit)
+    {
+        this->log.write(base::log_event::replica_limited,
+                        {{"replica", target->record.id},
+                         {"service", target->record.service},
+                         {"limit", fmt::format("{:.2f}", *limit)}});
+    }
+    else
+    {
+        this->log.write(base::log_event::replica_limit_ended,
+                        {{"replica", target->record.id},
+                         {"service", target->record.service}});
+    }
+}
+
 bool request_engine::try_admit(replica& target, time_point now)
 {
     const double rate = this->cold_rate(target);
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -166,6 +166,8 @@
     void on_check_finished(const replica_ptr& target,
                            const ports::health_report& report,
                            base::time_point asked_at);
+    /// Records the limit in a replica's answer, or that there is none.
+    void on_rate_limit(const replica_ptr& target, std::optional<double> limit);
     bool try_admit(replica& target, base::time_point now);
     [[nodiscard]] double cold_rate(const replica& target) const;
     void remove_request(std::uint64_t request);
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -396,6 +396,11 @@
         // Requests to that address are now executed by another replica.
         attempt.target->displaced_until = now + displaced_duration;
     }
+    if (outcome.result == send_result::answered ||
+        outcome.result == send_result::shed)
+    {
+        this->engine.on_rate_limit(attempt.target, outcome.rate_limit);
+    }
     if (outcome.warm_up_left)
     {
         attempt.target->cold_until = now + *outcome.warm_up_left;
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -50,6 +50,8 @@
     replica_answer answer;             ///< valid if result is answered
     std::optional<double> utilization; ///< reported (running + waiting) / slots
     std::optional<core::base::duration> warm_up_left; ///< reported warm-up left
+    /// Requests a second that the replica takes from all nodes together.
+    std::optional<double> rate_limit;
     std::string detail;          ///< reason of a failure, for the log
     bool is_unreachable = false; ///< no connection could be opened
 };
@@ -64,6 +66,7 @@
     /// opened, or another replica answered. A replica that accepts connections
     /// and does not answer may only be busy.
     bool is_gone = false;
+    std::optional<double> rate_limit; ///< as in send_outcome
 };
 
 /// @brief Sends requests to replicas over persistent connections.
