Keep to the limits that replicas name

What callers saw: nothing yet; a replica in need that named a limit of 22.8 requests a second got over 142 in four seconds, one that named 1.7 got 33 (15 allowed), and lost the relief that it asked for.

Change: a replica's limit is divided among the entries; each keeps its part as a token bucket of one token, which first sends, hedges and retries use alike. A request of each node at the same moment may exceed a low limit, so only the first 2 x limit + 3 entries in an order that all nodes compute alike share it; others use other replicas. Entries ask a limited replica for its health after two seconds without an answer, since a node that may not send to it would not learn the end; a limit that is not named for ten seconds no longer applies.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -158,6 +158,11 @@
         {
             this->quarantine.write(refused);
         };
+        this->engine.rank_among_entries = [this](const std::string& replica)
+        {
+            return this->members.nodes.rank_among_entries(replica,
+                                                          this->runtime.now());
+        };
         auto opened = this->open_listeners();
         if (!opened)
         {
@@ -405,6 +410,7 @@
     if (this->members.nodes.self().is_entry)
     {
         this->maintain_connections();
+        this->engine.refresh_limits();
     }
     this->log.flush();
     if (!this->is_maintenance_pending)
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -351,14 +351,33 @@
     return result;
 }
 
+bool node_directory::is_counted(const node_state& item, time_point now)
+{
+    return item.is_listed || now - item.last_entry_at <= shared_bound_retention;
+}
+
+std::size_t node_directory::rank_among_entries(const std::string& key,
+                                               time_point now) const
+{
+    const auto seed = base::hash_of(key);
+    const auto own_position = base::hash_of(this->own.name, seed);
+    return static_cast<std::size_t>(
+        std::count_if(this->nodes.begin(),
+                      this->nodes.end(),
+                      [&](const auto& item)
+                      {
+                          return is_counted(item.second, now) &&
+                                 base::hash_of(item.first, seed) < own_position;
+                      }));
+}
+
 unsigned node_directory::entry_count(time_point now)
 {
     unsigned count = this->own.is_entry ? 1 : 0;
     for (auto it = this->nodes.begin(); it != this->nodes.end();)
     {
         auto& item = it->second;
-        const bool is_current = item.is_listed || now - item.last_entry_at <=
-                                                      shared_bound_retention;
+        const bool is_current = is_counted(item, now);
         count += is_current ? 1 : 0;
         const bool is_forgotten =
             !is_current && !this->is_receiving_from(item, now);
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -103,6 +103,14 @@
     /// @return at least 1
     unsigned entry_count(base::time_point now);
 
+    /// @brief This node's rank among the entries that entry_count() counts. The
+    ///        order depends on the key and is the same at all nodes.
+    /// @param key what is ranked for
+    /// @param now the current time
+    /// @return 0 for the first
+    [[nodiscard]] std::size_t rank_among_entries(const std::string& key,
+                                                 base::time_point now) const;
+
   private:
     struct node_state
     {
@@ -122,6 +130,9 @@
     [[nodiscard]] bool may_serve(const node_state& item,
                                  base::time_point now) const;
     void update_last_entry(node_state& item, base::time_point now);
+    /// Tells whether a node divides the shared bounds.
+    [[nodiscard]] static bool is_counted(const node_state& item,
+                                         base::time_point now);
 
     node_record own;
     bool saw_earlier_incarnation = false;
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -12,6 +12,7 @@
 #include <core/base/time.hpp>
 #include <core/relay/replica.hpp>
 #include <core/relay/replica_health.hpp>
+#include <core/relay/replica_limit.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -31,9 +32,8 @@
     /// Nothing is sent to it before this time, since another replica answered
     /// at its address.
     base::time_point displaced_until{};
-    /// Requests a second that it takes from all nodes together, as long as it
-    /// says so in its answers.
-    std::optional<double> rate_limit;
+    /// Requests that it takes, as long as it says so in its answers.
+    std::optional<replica_limit> limit;
     /// Times of recent sends, for the bound on cold replicas.
     std::vector<base::time_point> recent_sends;
 };
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -177,7 +177,8 @@
                      });
     for (const auto& [cost, candidate] : ranked)
     {
-        if (this->try_admit(*candidate, now))
+        if (this->try_admit(*candidate, now) &&
+            this->try_admit_limited(*candidate, now))
         {
             return candidate;
         }
@@ -230,7 +231,7 @@
             this->on_check_finished(target, report, asked_at);
             if (report.rate_limit)
             {
-                this->on_rate_limit(target, report.rate_limit);
+                this->on_limit(target, report.rate_limit);
             }
             const bool was_suspect = target->health.is_suspect();
             target->health.on_check(
@@ -373,29 +374,105 @@
     return this->crashes.reports_to_send(now);
 }
 
-void request_engine::on_rate_limit(const replica_ptr& target,
-                                   std::optional<double> limit)
+void request_engine::on_limit(const replica_ptr& target,
+                              std::optional<double> per_second)
 {
-    if (target->rate_limit == limit)
+    if (!per_second)
     {
+        this->end_limit(target);
         return;
     }
-    target->rate_limit = limit;
-    if (limit)
+    const auto now = this->runtime.now();
+    const bool is_changed =
+        !target->limit || target->limit->per_second() != *per_second;
+    if (!target->limit)
+    {
+        target->limit.emplace(*per_second, now);
+    }
+    target->limit->on_named(*per_second, now);
+    if (is_changed)
     {
         this->log.write(base::log_event::replica_limited,
                         {{"replica", target->record.id},
                          {"service", target->record.service},
-                         {"limit", fmt::format("{:.2f}", *limit)}});
+                         {"limit", fmt::format("{:.2f}", *per_second)}});
     }
-    else
+}
+
+void request_engine::end_limit(const replica_ptr& target)
+{
+    if (target->limit)
     {
+        target->limit.reset();
         this->log.write(base::log_event::replica_limit_ended,
                         {{"replica", target->record.id},
                          {"service", target->record.service}});
     }
 }
 
+void request_engine::refresh_limits()
+{
+    const auto now = this->runtime.now();
+    for (const auto& [id, target] : this->registry.all())
+    {
+        if (!target->limit)
+        {
+            continue;
+        }
+        if (target->limit->has_expired(now))
+        {
+            this->end_limit(target);
+        }
+        else if (target->limit->is_stale(now))
+        {
+            this->check(target);
+        }
+    }
+}
+
+std::size_t request_engine::users_of_limit(const replica& target) const
+{
+    if (!this->is_entry)
+    {
+        return 0;
+    }
+    const auto users =
+        std::min<std::size_t>(this->entry_count, target.limit->max_users());
+    const bool is_excluded =
+        users < this->entry_count && this->rank_among_entries &&
+        this->rank_among_entries(target.record.id) >= users;
+    return is_excluded ? 0 : users;
+}
+
+bool request_engine::try_admit_limited(replica& target, time_point now)
+{
+    if (!target.limit)
+    {
+        return true;
+    }
+    const auto users = this->users_of_limit(target);
+    return users > 0 && target.limit->try_take(users, now);
+}
+
+std::optional<duration>
+request_engine::until_limit_allows(const std::string& service) const
+{
+    const auto now = this->runtime.now();
+    std::optional<duration> result;
+    for (const auto& target : this->registry.usable(service, now))
+    {
+        if (!target->limit)
+        {
+            continue;
+        }
+        const auto users = this->users_of_limit(*target);
+        const auto wait = users == 0 ? duration::max()
+                                     : target->limit->until_next(users, now);
+        result = std::min(result.value_or(wait), wait);
+    }
+    return result;
+}
+
 bool request_engine::try_admit(replica& target, time_point now)
 {
     const double rate = this->cold_rate(target);
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -116,6 +116,16 @@
     /// of replicas is stale then, so all are treated as possibly cold.
     void record_running();
 
+    /// @brief Asks replicas whether the limits that they have named still
+    /// apply;
+    ///        to be called regularly. A node that may not send to a replica
+    ///        does not get an answer that says so.
+    void refresh_limits();
+
+    /// @brief Returns this node's rank among the entries for a replica, the
+    ///        same at all nodes; 0 for the first.
+    std::function<std::size_t(const std::string& replica)> rank_among_entries;
+
     /// @brief Starts a health check of a replica unless one is in progress.
     void check(const replica_ptr& target);
 
@@ -167,7 +177,16 @@
                            const ports::health_report& report,
                            base::time_point asked_at);
     /// Records the limit in a replica's answer, or that there is none.
-    void on_rate_limit(const replica_ptr& target, std::optional<double> limit);
+    void on_limit(const replica_ptr& target, std::optional<double> per_second);
+    void end_limit(const replica_ptr& target);
+    bool try_admit_limited(replica& target, base::time_point now);
+    /// @return the number of nodes that share a replica's limit; 0 if this node
+    ///         is none of them
+    [[nodiscard]] std::size_t users_of_limit(const replica& target) const;
+    /// @return the time until a limited replica may get a request from this
+    ///         node; nullopt if none is limited
+    [[nodiscard]] std::optional<base::duration>
+    until_limit_allows(const std::string& service) const;
     bool try_admit(replica& target, base::time_point now);
     [[nodiscard]] double cold_rate(const replica& target) const;
     void remove_request(std::uint64_t request);
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -138,7 +138,8 @@
                    std::to_string(reachable) + " of " +
                        std::to_string(targets.size()) +
                        " services are reachable, " + std::to_string(needed) +
-                       " are needed");
+                       " are needed",
+                   this->retry_delay(targets));
         return;
     }
     for (std::size_t i = 0; i < targets.size(); ++i)
@@ -151,6 +152,21 @@
     }
 }
 
+duration
+request_execution::retry_delay(const std::vector<replica_ptr>& targets) const
+{
+    duration delay = default_retry_after;
+    for (std::size_t i = 0; i < targets.size(); ++i)
+    {
+        const auto limited =
+            targets[i] == nullptr
+                ? this->engine.until_limit_allows(this->parts[i].service)
+                : std::nullopt;
+        delay = std::max(delay, limited.value_or(delay));
+    }
+    return std::min(delay, duration(max_retry_after));
+}
+
 void request_execution::log_start(const std::vector<replica_ptr>& targets) const
 {
     const auto& id = this->request.message->id;
@@ -399,7 +415,7 @@
     if (outcome.result == send_result::answered ||
         outcome.result == send_result::shed)
     {
-        this->engine.on_rate_limit(attempt.target, outcome.rate_limit);
+        this->engine.on_limit(attempt.target, outcome.rate_limit);
     }
     if (outcome.warm_up_left)
     {
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -23,6 +23,10 @@
 /// Retry-After of refusals; a paused replica has resumed by then.
 constexpr std::chrono::milliseconds default_retry_after{20};
 
+/// Retry-After of requests that wait for the limit of a replica, at most: other
+/// nodes may have part of the limit left.
+constexpr std::chrono::milliseconds max_retry_after{1000};
+
 /// Attempts per part, including those that the replica shed.
 constexpr std::size_t max_attempts = 6;
 
@@ -101,6 +105,10 @@
     void compute_deadlines();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_first_attempts();
+    /// Retry-After if too few replicas can get the request: replicas whose
+    /// limits are used up set it.
+    [[nodiscard]] base::duration
+    retry_delay(const std::vector<replica_ptr>& targets) const;
     void log_start(const std::vector<replica_ptr>& targets) const;
     [[nodiscard]] std::size_t
     count_reachable(const std::vector<replica_ptr>& targets) const;
--- a/tests/relay/test_relay_nodes.cpp
+++ b/tests/relay/test_relay_nodes.cpp
@@ -141,6 +141,39 @@
     BOOST_TEST(nodes.usable(begin + 2s).size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(entries_rank_each_other_in_the_same_order)
+{
+    const std::vector<std::string> names{"a", "b", "c", "d", "e", "f"};
+    std::set<std::size_t> ranks_of_a;
+    for (const auto* key : {"r1", "r2", "r3", "r4", "r5", "r6", "r7"})
+    {
+        std::set<std::size_t> ranks;
+        for (const auto& own : names)
+        {
+            node_directory nodes(node(own, "z"));
+            for (const auto& name : names)
+            {
+                if (name != own)
+                {
+                    nodes.on_registered(node(name, "z"), begin);
+                }
+            }
+            auto standby = node("g", "z");
+            standby.is_entry = false;
+            nodes.on_beacon(standby, begin);
+            const auto rank = nodes.rank_among_entries(key, begin);
+            ranks.insert(rank);
+            if (own == "a")
+            {
+                ranks_of_a.insert(rank);
+            }
+        }
+        BOOST_TEST(ranks.size() == names.size());
+        BOOST_TEST(*ranks.rbegin() == names.size() - 1);
+    }
+    BOOST_TEST(ranks_of_a.size() > 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_ended_node_still_divides_the_bounds_for_a_window)
 {
     node_directory nodes(node("a", "z"));
--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +51,7 @@
     send_result result = send_result::answered;
     core::base::duration after = std::chrono::milliseconds(5); ///< the send
     unsigned status = 200;
+    std::optional<double> rate_limit = std::nullopt;
 };
 
 /// @brief Replicas that reply to each request as a script says.
@@ -151,6 +153,7 @@
         this->pending.erase(found);
         ports::send_outcome outcome;
         outcome.result = reply.result;
+        outcome.rate_limit = reply.rate_limit;
         outcome.detail = "scripted";
         outcome.answer.status = reply.status;
         outcome.answer.signature = replica + "." + request;
