Leave a replica alone for as long as it asks for when it turns a request away

Cause: the relay did not read the field; a replica that shed was asked again at once or as soon as its cost had decayed.

Change: such a replica gets no request, and no periodic health check, until the time has passed (ten minutes at most). If all replicas of a service ask for a pause, callers are refused at once, not run, and told when the first may be asked again (a second at most: other nodes may be welcome).

Evidence: test_relay_requests, a_replica_that_asks_for_a_pause_gets_one (5 arrivals where 3 are allowed, before) and a_service_that_asks_for_a_pause_is_refused_at_once (169 arrivals where 2 are allowed, before).

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -441,7 +441,8 @@
         const bool is_in_use =
             config != nullptr &&
             config->services.contains(target->record.service) &&
-            !target->record.is_draining && !target->is_leaving;
+            !target->record.is_draining && !target->is_leaving &&
+            target->back_off_until <= now;
         if (!is_in_use)
         {
             continue;
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -94,6 +94,8 @@
     event_row{log_event::source_lost, "source_lost", log_level::warning},
     event_row{log_event::source_regained, "source_regained", log_level::info},
     event_row{log_event::replica_leaving, "replica_leaving", log_level::info},
+    event_row{
+        log_event::replica_backs_off, "replica_backs_off", log_level::info},
     event_row{log_event::node_listed, "node_listed", log_level::info},
     event_row{log_event::node_unlisted, "node_unlisted", log_level::info},
     event_row{log_event::node_heard, "node_heard", log_level::info},
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -80,6 +80,7 @@
     source_lost = 1034,
     source_regained = 1035,
     replica_leaving = 1036,
+    replica_backs_off = 1037,
     node_listed = 1041,
     node_unlisted = 1042,
     node_heard = 1043,
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -129,9 +129,8 @@
     }
     for (const auto& candidate : found->second)
     {
-        if (!candidate->record.is_draining && !candidate->is_leaving &&
-            candidate->displaced_until <= now &&
-            !this->zones_out.contains(candidate->record.zone))
+        if (this->is_in_service(*candidate, now) &&
+            candidate->back_off_until <= now)
         {
             result.push_back(candidate);
         }
@@ -139,6 +138,35 @@
     return result;
 }
 
+bool replica_registry::is_in_service(const replica& candidate,
+                                     time_point now) const
+{
+    return !candidate.record.is_draining && !candidate.is_leaving &&
+           candidate.displaced_until <= now &&
+           !this->zones_out.contains(candidate.record.zone);
+}
+
+std::optional<base::duration>
+replica_registry::shortest_back_off(const std::string& service,
+                                    time_point now) const
+{
+    std::optional<base::duration> shortest;
+    const auto found = this->by_service.find(service);
+    if (found == this->by_service.end())
+    {
+        return shortest;
+    }
+    for (const auto& candidate : found->second)
+    {
+        const auto wait = candidate->back_off_until - now;
+        if (this->is_in_service(*candidate, now) && wait > base::duration(0))
+        {
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+    }
+    return shortest;
+}
+
 void replica_registry::drop(const std::string& id)
 {
     this->pending_removals.erase(id);
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -30,6 +30,8 @@
     bool is_being_checked = false;
     bool is_removed = false; ///< its registration was removed
     bool is_leaving = false; ///< it has said so in an answer
+    /// Nothing is sent to it before this time, as it asked in an answer.
+    base::time_point back_off_until{};
     /// Nothing is sent to it before this time, since another replica answered
     /// at its address.
     base::time_point displaced_until{};
@@ -74,6 +76,11 @@
     [[nodiscard]] std::vector<replica_ptr> usable(const std::string& service,
                                                   base::time_point now) const;
 
+    /// @brief Time until the first replica of a service that asked for a pause
+    ///        may get requests again; nullopt if none did.
+    [[nodiscard]] std::optional<base::duration>
+    shortest_back_off(const std::string& service, base::time_point now) const;
+
     /// @brief All known replicas by id, including those in their grace period.
     [[nodiscard]] const std::map<std::string, replica_ptr>& all() const
     {
@@ -82,6 +89,9 @@
 
   private:
     void drop(const std::string& id);
+    /// Tells whether a replica may get requests when it asks for no pause.
+    [[nodiscard]] bool is_in_service(const replica& candidate,
+                                     base::time_point now) const;
 
     std::map<std::string, replica_ptr> replicas;
     std::map<std::string, std::vector<replica_ptr>, std::less<>> by_service;
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -425,6 +425,15 @@
     }
 }
 
+void request_engine::on_back_off(const replica_ptr& target, duration pause)
+{
+    target->back_off_until = this->runtime.now() + pause;
+    this->log.write(base::log_event::replica_backs_off,
+                    {{"replica", target->record.id},
+                     {"service", target->record.service},
+                     {"pause_ms", ms_text(pause)}});
+}
+
 void request_engine::refresh_limits()
 {
     const auto now = this->runtime.now();
@@ -470,10 +479,10 @@
 }
 
 std::optional<duration>
-request_engine::until_limit_allows(const std::string& service) const
+request_engine::until_available(const std::string& service) const
 {
     const auto now = this->runtime.now();
-    std::optional<duration> result;
+    auto result = this->registry.shortest_back_off(service, now);
     for (const auto& target : this->registry.usable(service, now))
     {
         if (!target->limit)
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -181,14 +181,17 @@
     void end_limit(const replica_ptr& target);
     /// Sends no more requests to a replica that has said that it leaves.
     void on_leaving(const replica_ptr& target);
+    /// Pauses sends to a replica that asks for it.
+    void on_back_off(const replica_ptr& target, base::duration pause);
     bool try_admit_limited(replica& target, base::time_point now);
     /// @return the number of nodes that share a replica's limit; 0 if this node
     ///         is none of them
     [[nodiscard]] std::size_t users_of_limit(const replica& target) const;
-    /// @return the time until a limited replica may get a request from this
-    ///         node; nullopt if none is limited
+    /// @return the time until a replica whose limit is used up, or that asked
+    ///         for a pause, may get a request from this node; nullopt if there
+    ///         is none
     [[nodiscard]] std::optional<base::duration>
-    until_limit_allows(const std::string& service) const;
+    until_available(const std::string& service) const;
     bool try_admit(replica& target, base::time_point now);
     [[nodiscard]] double cold_rate(const replica& target) const;
     void remove_request(std::uint64_t request);
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -158,11 +158,11 @@
     duration delay = default_retry_after;
     for (std::size_t i = 0; i < targets.size(); ++i)
     {
-        const auto limited =
+        const auto wait =
             targets[i] == nullptr
-                ? this->engine.until_limit_allows(this->parts[i].service)
+                ? this->engine.until_available(this->parts[i].service)
                 : std::nullopt;
-        delay = std::max(delay, limited.value_or(delay));
+        delay = std::max(delay, wait.value_or(delay));
     }
     return std::min(delay, duration(max_retry_after));
 }
@@ -420,6 +420,10 @@
         {
             this->engine.on_leaving(attempt.target);
         }
+        if (outcome.back_off)
+        {
+            this->engine.on_back_off(attempt.target, *outcome.back_off);
+        }
     }
     if (outcome.warm_up_left)
     {
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -105,8 +105,8 @@
     void compute_deadlines();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_first_attempts();
-    /// Retry-After if too few replicas can get the request: replicas whose
-    /// limits are used up set it.
+    /// Retry-After if too few replicas can get the request: set by replicas
+    /// whose limits are used up or that asked for a pause.
     [[nodiscard]] base::duration
     retry_delay(const std::vector<replica_ptr>& targets) const;
     void log_start(const std::vector<replica_ptr>& targets) const;
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -53,6 +53,8 @@
     /// Requests a second that the replica takes from all nodes together.
     std::optional<double> rate_limit;
     bool is_leaving = false; ///< the replica is about to end
+    /// How long the replica wants no request from this node.
+    std::optional<core::base::duration> back_off;
     std::string detail;          ///< reason of a failure, for the log
     bool is_unreachable = false; ///< no connection could be opened
 };
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -811,7 +811,22 @@
     }
     const std::vector<std::string> forwarded{"X-Server-Stamp", "X-Other"};
     BOOST_TEST(names == forwarded, boost::test_tools::per_element());
-    for (const auto* limit : {"", "soon", "-1"})
+    const auto pause = [](const std::string& status, const std::string& text)
+    {
+        return send_over_link("HTTP/1.1 " + status +
+                                  "\r\nX-Not-Executed: 1\r\nRetry-After: " +
+                                  text + "\r\nContent-Length: 0\r\n\r\n",
+                              false)
+            .back_off;
+    };
+    BOOST_TEST((pause("503 No", "2.5") == 2500ms));
+    BOOST_TEST((pause("503 No", "1e99") == 10min));
+    for (const auto* text : {"", "-1", "0", "soon", "nan"})
+    {
+        BOOST_TEST(!pause("503 No", text).has_value());
+    }
+    BOOST_TEST(!pause("429 No", "2").has_value());
+    for (const auto* limit : {"", "soon", "-1", "nan"})
     {
         const auto unreadable = send_over_link(
             "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nServer-Leaving: 0\r\n"
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -334,6 +334,75 @@
     BOOST_TEST((simulation.answers.at("b").code == result_code::ok));
 }
 
+// Guards against: a replica that turned a request away for some time gets more
+// requests before that time has passed.
+BOOST_AUTO_TEST_CASE(a_replica_that_asks_for_a_pause_gets_one)
+{
+    relay_simulation simulation(
+        [&simulation](const relay::replica& replica, const std::string&)
+        {
+            auto reply = is_replica_a(replica) ? shed : ok;
+            const auto now = simulation.loop.now();
+            if (is_replica_a(replica) && now < time_point(1h) + 10s)
+            {
+                reply.status = 503;
+                reply.back_off = 3s;
+            }
+            else
+            {
+                reply = ok;
+            }
+            return reply;
+        });
+    const auto arrivals_at_a = [&simulation]
+    {
+        return std::count_if(simulation.replicas.arrivals.begin(),
+                             simulation.replicas.arrivals.end(),
+                             [](const auto& arrival)
+                             {
+                                 return arrival.replica.ends_with("-a");
+                             });
+    };
+    for (int i = 0; i < 900; ++i)
+    {
+        const auto id = "q" + std::to_string(i);
+        simulation.start(id, i % 2 == 0 ? "/l/x" : "/b/x", 1500ms);
+        simulation.loop.run_for(10ms);
+        BOOST_TEST((simulation.answers.at(id).code == result_code::ok));
+    }
+    BOOST_TEST(arrivals_at_a() <= 3);
+    for (int i = 0; i < 500; ++i)
+    {
+        simulation.start("r" + std::to_string(i), "/l/x", 1500ms);
+        simulation.loop.run_for(10ms);
+    }
+    BOOST_TEST(arrivals_at_a() > 50);
+}
+
+// If all replicas of a service have asked for a pause, callers are refused at
+// once and told when to come back.
+BOOST_AUTO_TEST_CASE(a_service_that_asks_for_a_pause_is_refused_at_once)
+{
+    auto reply = shed;
+    reply.status = 503;
+    reply.back_off = 5s;
+    relay_simulation simulation(always(reply));
+    for (int i = 0; i < 100; ++i)
+    {
+        const auto id = "q" + std::to_string(i);
+        simulation.start(id, "/l/x", 1500ms);
+        simulation.loop.run_for(20ms);
+        BOOST_TEST(simulation.answers.at(id).is_not_run);
+        if (i > 0)
+        {
+            BOOST_TEST((simulation.latencies.at(id) == 0ms));
+            BOOST_TEST((simulation.answers.at(id).retry_after > 20ms));
+            BOOST_TEST((simulation.answers.at(id).retry_after <= 1s));
+        }
+    }
+    BOOST_TEST(simulation.replicas.arrivals.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_everyone_sheds_is_refused_as_not_run)
 {
     relay_simulation simulation(always(shed));
--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -53,6 +53,7 @@
     unsigned status = 200;
     std::optional<double> rate_limit = std::nullopt;
     bool is_leaving = false;
+    std::optional<core::base::duration> back_off = std::nullopt;
 };
 
 /// @brief Replicas that reply to each request as a script says.
@@ -156,6 +157,7 @@
         outcome.result = reply.result;
         outcome.rate_limit = reply.rate_limit;
         outcome.is_leaving = reply.is_leaving;
+        outcome.back_off = reply.back_off;
         outcome.detail = "scripted";
         outcome.answer.status = reply.status;
         outcome.answer.signature = replica + "." + request;
