Show that a replica's answer that ends within its head is no success

It cannot happen here: the head must be complete before an end of the connection can complete an answer. Shown for every byte of the head, with a length, with chunks and with neither, closed and reset (test_replica_answers, no_cut_within_the_head_leaves_an_answer), for the client of serve (test_http_client, the same name), and to the caller, for one replica and for a search (test_relay_process, an_answer_that_ends_within_its_head_is_no_success: 502).

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -207,19 +207,22 @@
         };
         this->replicas.push_back(std::move(*adapters::http::server::listen(
             this->io, "127.0.0.1", 0, std::move(handlers), {})));
-        this->store.write(
-            "servers/" + id,
-            json::serialize(json::object{
-                {"service", "s"},
-                {"address",
-                 "127.0.0.1:" + std::to_string(this->replicas.back()->port())},
-                {"zone", "z"},
-                {"version", "v1"},
-                {"capacity", 2},
-                {"state", "ready"},
-                {"warmupRemainingMs", 0},
-                {"sequence", 1},
-                {"born", 7}}));
+        this->register_replica(id, this->replicas.back()->port());
+    }
+
+    void register_replica(const std::string& id, std::uint16_t port)
+    {
+        this->store.write("servers/" + id,
+                          json::serialize(json::object{
+                              {"service", "s"},
+                              {"address", "127.0.0.1:" + std::to_string(port)},
+                              {"zone", "z"},
+                              {"version", "v1"},
+                              {"capacity", 2},
+                              {"state", "ready"},
+                              {"warmupRemainingMs", 0},
+                              {"sequence", 1},
+                              {"born", 7}}));
     }
 
     static std::string configuration(std::uint64_t version)
@@ -481,6 +484,23 @@
     BOOST_TEST(has_stopped);
 }
 
+// Guards against: a replica stops within the head of its answer and closes, and
+// the caller gets a success with an empty body.
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_within_its_head_is_no_success)
+{
+    relay_cluster cluster;
+    cluster.store.remove("servers/r-1");
+    const raw_server replica(
+        cluster.io, "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Le", true);
+    cluster.register_replica("r-2", replica.endpoint().port());
+    cluster.io.run_for(500ms);
+    cluster.send_query("/one/x");
+    cluster.send_query("/all/x");
+    cluster.io.run_for(1200ms);
+    BOOST_TEST(replica.connections >= 2U);
+    BOOST_TEST(cluster.count(502) == 2U);
+}
+
 // Callers keep an address for its time to live, so it must end before a
 // stopping node closes the connections that it has no request on.
 BOOST_AUTO_TEST_CASE(addresses_expire_before_a_stopping_node_closes)
--- a/tests/relay/test_replica_answers.cpp
+++ b/tests/relay/test_replica_answers.cpp
@@ -245,6 +245,35 @@
     }
 }
 
+// Guards against: a replica stops within the head of its answer and closes, and
+// what has arrived is delivered as a success with an empty or short body.
+BOOST_AUTO_TEST_CASE(no_cut_within_the_head_leaves_an_answer)
+{
+    using ending = scripted_server::reply::ending;
+    const std::string begin = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n";
+    for (const std::string& framing :
+         {"Content-Length: 40\r\n", "Transfer-Encoding: chunked\r\n", ""})
+    {
+        const auto head = begin + framing + "\r\n";
+        for (std::size_t length = 1; length < head.size(); ++length)
+        {
+            for (const auto end : {ending::closed, ending::reset})
+            {
+                exchange replica(
+                    [&](std::size_t)
+                    {
+                        return scripted_server::reply{
+                            {head.substr(0, length)}, "", end};
+                    });
+                const auto outcome = replica.send("id-1");
+                BOOST_TEST((outcome.result == send_result::broken),
+                           head.substr(0, length) << ": " << outcome.detail);
+                BOOST_TEST(outcome.answer.body.empty());
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(bytes_without_end)
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -174,4 +174,25 @@
     }
 }
 
+// Guards against: a server stops within the head of its answer and closes, and
+// what has arrived is delivered as a success.
+BOOST_AUTO_TEST_CASE(no_cut_within_the_head_leaves_an_answer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n";
+    for (std::size_t length = 1; length < head.size(); ++length)
+    {
+        client caller(
+            [&](std::size_t)
+            {
+                return scripted_server::reply{
+                    {head.substr(0, length)},
+                    "",
+                    scripted_server::reply::ending::closed};
+            });
+        BOOST_TEST(
+            (caller.send("id-1").error().code == result_code::target_lost),
+            head.substr(0, length));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
