Answer every request before a stopping process ends; refuse late bookings

Cause: a stopping node took requests for 0.7 of the grace time, whatever time they may need, and exited at 0.93 of it with whatever was open.

Change: all requests are answered by 0.9 of the grace time, late ones as failed with unknown outcome. From SIGTERM a request that may run only once is refused at once, not run, if its deadline is later than that; one that may be repeated if it usually takes more than half of the time that is left. Another node serves them.

Evidence, on real sockets, before: test_relay_process, a_request_late_in_a_planned_stop_is_answered: 0 of 3 answers in each of three cases, and a_booking_late_in_a_planned_stop_is_refused_as_not_run: sent and not refused. Now both pass; on the paused clock test_relay_requests, all_requests_are_answered_before_the_process_ends.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -43,8 +43,10 @@
 constexpr std::chrono::seconds min_address_ttl{1};
 
 /// Fractions of the time between SIGTERM and SIGKILL after which idle
-/// connections are closed and after which the process exits regardless.
+/// connections are closed, all requests have been answered, and the process
+/// exits regardless.
 constexpr double close_idle_fraction = 0.7;
+constexpr double answer_fraction = 0.9;
 constexpr double exit_fraction = 0.93;
 
 /// Interval at which a stopping process checks its open connections.
@@ -607,6 +609,7 @@
     this->members.stop();
     this->callers->drain();
     const auto now = this->runtime.now();
+    this->engine.close_at(now + this->time_in_grace(answer_fraction));
     this->await_connections_closed(now +
                                        this->time_in_grace(close_idle_fraction),
                                    now + this->time_in_grace(exit_fraction),
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -108,6 +108,16 @@
     return number;
 }
 
+void request_engine::close_at(time_point end)
+{
+    this->closes_at = end;
+    const auto active = this->active_requests;
+    for (const auto& [number, execution] : active)
+    {
+        execution->limit_deadline(end);
+    }
+}
+
 void request_engine::record_running()
 {
     this->detect_process_pause();
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -102,6 +102,12 @@
     /// @return the request's number for on_caller_disconnected()
     std::uint64_t start(caller_request request, answer_handler done);
 
+    /// @brief Answers all requests by a time, since the process ends after it.
+    ///
+    /// A later request that may take longer is refused if it may run only once,
+    /// or if it usually takes too long.
+    void close_at(base::time_point end);
+
     /// @brief Ends a request whose caller has disconnected.
     void on_caller_disconnected(std::uint64_t request);
 
@@ -204,6 +210,7 @@
     extra_budget extras;
     crash_tracker crashes;
     std::optional<base::time_point> last_running_at;
+    std::optional<base::time_point> closes_at;
     unsigned entry_count = 1;
     bool is_entry = true;
     /// Latencies of answered attempts, by route.
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -97,7 +97,7 @@
         this->fail(result_code::deadline_expired, "no time left");
         return;
     }
-    if (this->refuse_if_crashing())
+    if (this->refuse_if_closing() || this->refuse_if_crashing())
     {
         return;
     }
@@ -113,6 +113,35 @@
     }
 }
 
+bool request_execution::refuse_if_closing()
+{
+    const auto& closes_at = this->engine.closes_at;
+    if (!closes_at)
+    {
+        return false;
+    }
+    const auto left = *closes_at - this->started;
+    const auto longest = std::min(duration(this->matched_route->timeout),
+                                  this->request.time_left);
+    const auto usual =
+        this->engine.latencies[this->matched_route->name].quantile(
+            hedge_quantile, this->matched_route->latency_objective);
+    const bool may_end_in_time =
+        this->matched_route->is_idempotent && usual * 2 <= left;
+    if (longest <= left || may_end_in_time)
+    {
+        return false;
+    }
+    this->fail(result_code::node_stopping, "the process ends before it might");
+    return true;
+}
+
+void request_execution::limit_deadline(time_point latest)
+{
+    this->deadline = std::min(this->deadline, latest);
+    this->arm_timer();
+}
+
 void request_execution::send_first_attempts()
 {
     std::vector<replica_ptr> targets;
@@ -250,6 +279,10 @@
             ? this->request.time_left - deadline_reserve
             : this->request.time_left / 2;
     this->deadline = this->started + std::min(timeout, caller_limit);
+    if (this->engine.closes_at)
+    {
+        this->deadline = std::min(this->deadline, *this->engine.closes_at);
+    }
     const duration round_trip = this->request.round_trip.count() > 0
                                     ? this->request.round_trip
                                     : duration(default_round_trip);
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -44,6 +44,9 @@
     /// @brief Selects the route and sends the first attempt of each part.
     void start();
 
+    /// @brief Answers the request by a time if its deadline is later.
+    void limit_deadline(base::time_point latest);
+
     /// @brief Ends the request without an answer. Pending attempts get a grace
     ///        period to finish, which keeps their connections reusable.
     void on_caller_disconnected();
@@ -85,6 +88,8 @@
     };
 
     bool select_route();
+    /// Fails the request and returns true if the process may end before it.
+    bool refuse_if_closing();
     /// Withholds the parts whose replicas crashed in the caller's earlier
     /// attempts. Fails the request and returns true if too few remain.
     bool refuse_if_crashing();
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -239,6 +239,15 @@
                                       {"priority", 1},
                                       {"maxAttempts", 2},
                                       {"service", "s"}},
+                         json::object{{"name", "book"},
+                                      {"host", "h.example"},
+                                      {"prefix", "/book/"},
+                                      {"type", "non_idempotent"},
+                                      {"timeoutMs", 1000},
+                                      {"targetLatencyMs", 200},
+                                      {"priority", 1},
+                                      {"maxAttempts", 1},
+                                      {"service", "s"}},
                          json::object{{"name", "all"},
                                       {"host", "h.example"},
                                       {"prefix", "/all/"},
@@ -484,6 +493,56 @@
     BOOST_TEST(has_stopped);
 }
 
+// Guards against: requests that come late in the time of a planned stop are
+// sent to replicas and cut without an answer when the process ends.
+BOOST_AUTO_TEST_CASE(a_request_late_in_a_planned_stop_is_answered)
+{
+    for (const auto sent_after : {100ms, 400ms, 650ms})
+    {
+        relay_cluster cluster;
+        cluster.store.remove("servers/r-1");
+        cluster.add_replica("r-2", 850ms);
+        cluster.io.run_for(500ms);
+        bool has_stopped = false;
+        std::size_t answered = 0;
+        cluster.nodes[0]->stop(
+            [&]
+            {
+                has_stopped = true;
+                answered = cluster.answers.size();
+            });
+        cluster.io.run_for(sent_after);
+        for (const auto* path : {"/one/x", "/book/x", "/all/x"})
+        {
+            cluster.send_query(path);
+        }
+        cluster.io.run_for(1000ms);
+        BOOST_TEST(has_stopped);
+        BOOST_TEST(answered == 3U);
+        for (const auto& reply : cluster.answers)
+        {
+            BOOST_TEST(reply.has_value(), sent_after.count());
+        }
+    }
+}
+
+// A request that may not be repeated and may not end before the process does is
+// refused, not run; others are served while there is time.
+BOOST_AUTO_TEST_CASE(a_booking_late_in_a_planned_stop_is_refused_as_not_run)
+{
+    relay_cluster cluster;
+    cluster.nodes[0]->stop([] {});
+    cluster.io.run_for(300ms);
+    cluster.send_query("/book/x");
+    cluster.io.run_for(100ms);
+    BOOST_TEST(cluster.count(503) == 1U);
+    BOOST_TEST(cluster.arrivals == 0U);
+    cluster.send_query("/one/x");
+    cluster.send_query("/all/x");
+    cluster.io.run_for(100ms);
+    BOOST_TEST(cluster.count(200) == 2U);
+}
+
 // Guards against: a replica stops within the head of its answer and closes, and
 // the caller gets a success with an empty body.
 BOOST_AUTO_TEST_CASE(an_answer_that_ends_within_its_head_is_no_success)
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -460,6 +460,36 @@
     BOOST_TEST((simulation.replicas.max_time_left <= 1500ms));
 }
 
+// A planned stop with slow replicas: requests from before and after its begin
+// are answered before the process ends.
+BOOST_AUTO_TEST_CASE(all_requests_are_answered_before_the_process_ends)
+{
+    relay_simulation simulation(always({send_result::answered, 3s}));
+    const auto begin = simulation.loop.now();
+    for (const auto* path : {"/l/", "/b/", "/s/"})
+    {
+        simulation.start("before" + std::string(path), path, 1500ms);
+    }
+    simulation.loop.run_for(100ms);
+    simulation.engine.close_at(begin + 1s);
+    for (const auto* path : {"/l/", "/b/", "/s/"})
+    {
+        simulation.start("after" + std::string(path), path, 1500ms);
+    }
+    BOOST_TEST(
+        (simulation.answers.at("after/b/").code == result_code::node_stopping));
+    BOOST_TEST(simulation.answers.at("after/b/").is_not_run);
+    BOOST_TEST(simulation.replicas.count("after/b/") == 0U);
+    simulation.loop.run_until(begin + 1s);
+    BOOST_TEST(simulation.answers.size() == 6U);
+    BOOST_TEST(simulation.engine.active() == 0U);
+    for (const auto& [id, answer] : simulation.answers)
+    {
+        BOOST_TEST(simulation.answer_count.at(id) == 1U);
+        BOOST_TEST((answer.code != result_code::ok), id);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_sent_after_the_caller_has_left)
 {
     relay_simulation simulation(always({send_result::answered, 900ms}));
