Log what identifies a request whose send got no answer

test_relay_requests/the_log_shows_why_a_request_failed lists the events of a failed request in order; the new one is added to the list.

--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -119,6 +119,7 @@
         log_event::quarantine_written, "quarantine_written", log_level::info},
     event_row{log_event::quarantine_known, "quarantine_known", log_level::info},
     event_row{log_event::quarantine_ended, "quarantine_ended", log_level::info},
+    event_row{log_event::send_unanswered, "send_unanswered", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -102,6 +102,7 @@
     quarantine_written = 1060,
     quarantine_known = 1061,
     quarantine_ended = 1062,
+    send_unanswered = 1063,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -107,6 +107,10 @@
     void on_unanswered(const part_state& part,
                        attempt_state& attempt,
                        bool is_silent);
+    /// Logs what identifies a request whose replica may have ended.
+    void log_unanswered(const part_state& part,
+                        const attempt_state& attempt,
+                        bool is_silent);
     void compute_deadlines();
     [[nodiscard]] base::duration hedge_delay() const;
     void send_first_attempts();
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -24,6 +24,9 @@
 /// a shorter delay lets callers resume sooner once the fault is fixed.
 constexpr std::chrono::seconds quarantine_retry_after{60};
 
+/// Bytes of a request's target in a log line.
+constexpr std::size_t max_logged_target = 128;
+
 } // namespace
 
 base::fingerprint request_execution::fingerprint()
@@ -113,6 +116,7 @@
     if (!is_known && !was_down)
     {
         attempt.is_reported = true;
+        this->log_unanswered(part, attempt, is_silent);
         this->engine.on_unanswered(attempt.target,
                                    {.subject = this->subject_of(part),
                                     .caller_attempt = this->request.message->id,
@@ -121,6 +125,26 @@
     }
 }
 
+void request_execution::log_unanswered(const part_state& part,
+                                       const attempt_state& attempt,
+                                       bool is_silent)
+{
+    const auto& message = *this->request.message;
+    this->engine.log.write(
+        base::log_event::send_unanswered,
+        {{"request", message.id},
+         {"service", part.service},
+         {"replica", attempt.target->record.id},
+         {"silent", is_silent ? "1" : "0"},
+         {"fingerprint", std::to_string(this->fingerprint())},
+         {"caller", this->request.caller},
+         {"method", message.method},
+         {"host", message.host},
+         {"target", message.target.substr(0, max_logged_target)},
+         {"body_bytes", std::to_string(message.body.size())},
+         {"body_hash", std::to_string(base::hash_of(message.body))}});
+}
+
 void request_execution::check_silent_replicas()
 {
     for (auto& part : this->parts)
--- a/tests/relay/test_relay_requests.cpp
+++ b/tests/relay/test_relay_requests.cpp
@@ -550,6 +550,7 @@
         }
     }
     const std::vector<std::string> expected{"request_started",
+                                            "send_unanswered",
                                             "send_failed",
                                             "request_answered",
                                             "crash_ruled_out"};
