--- a/tests/relay/test_crash_fleet.cpp
+++ b/tests/relay/test_crash_fleet.cpp
@@ -109,7 +109,10 @@
     {
         const auto index = this->sent++;
         return this->nodes[index % node_count]->start(
-            "crash-" + std::to_string(index), path, caller_timeout);
+            "crash-" + std::to_string(index),
+            path,
+            caller_timeout,
+            "10.0.0." + std::to_string(index % this->caller_addresses));
     }
 
     /// The node to which the next request is sent.
@@ -130,7 +133,8 @@
     }
 
     ending how;
-    bool is_store_away = false; ///< refusals are not stored
+    std::size_t caller_addresses = 1; ///< used in turn
+    bool is_store_away = false;       ///< refusals are not stored
     std::vector<std::unique_ptr<relay_simulation>> nodes;
     std::function<std::optional<scripted_reply>(const relay::replica&)>
         other_fault;
@@ -338,6 +342,25 @@
     }
 }
 
+// Guards against: attempts of a caller that connects from several addresses, or
+// through several gateways, count as different requests.
+BOOST_AUTO_TEST_CASE(callers_with_several_addresses)
+{
+    for (const auto& path : lookup_and_search)
+    {
+        for (const auto gap : repeat_gaps)
+        {
+            for (const std::size_t addresses : {3U, 70U})
+            {
+                crash_fleet fleet(by_reset);
+                fleet.caller_addresses = addresses;
+                fleet.repeat_request(path, gap, test_length);
+                BOOST_TEST(fleet.late_repeats() <= max_late_repeats);
+            }
+        }
+    }
+}
+
 // Guards against: a failure that a replica answers for another reason clears
 // the request of its crashes.
 BOOST_AUTO_TEST_CASE(replicas_that_also_fail_requests)
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -340,6 +340,33 @@
         this->send(this->settings[node].caller_address, std::move(message));
     }
 
+    /// Sends a request from a given local address. The answer's status line is
+    /// appended to `status_lines`.
+    void send_from(const std::string& address, const std::string& target)
+    {
+        const auto& to = this->settings.front().caller_address;
+        const auto socket = std::make_shared<tcp::socket>(this->io, tcp::v4());
+        socket->bind({boost::asio::ip::make_address(address), 0});
+        socket->connect({boost::asio::ip::make_address(to.ip), to.port});
+        boost::asio::write(
+            *socket,
+            boost::asio::buffer(fmt::format("GET {} HTTP/1.1\r\n"
+                                            "Host: h.example\r\n"
+                                            "X-Request-Id: q{}\r\n"
+                                            "X-Deadline-Ms: 900\r\n\r\n",
+                                            target,
+                                            ++this->query_count)));
+        const auto text = std::make_shared<std::string>();
+        boost::asio::async_read_until(
+            *socket,
+            boost::asio::dynamic_buffer(*text),
+            "\r\n",
+            [this, socket, text](const auto&, std::size_t size)
+            {
+                this->status_lines.push_back(text->substr(0, size));
+            });
+    }
+
     void send(const core::relay::socket_address& to, request message)
     {
         const auto connection =
@@ -403,6 +430,7 @@
     std::vector<std::unique_ptr<adapters::relay::relay_node>> nodes;
     std::vector<std::shared_ptr<adapters::http::connection>> connections;
     std::vector<answer> answers;
+    std::vector<std::string> status_lines;
     std::size_t query_count = 0;
     std::size_t arrivals = 0;
 };
@@ -766,6 +794,34 @@
     BOOST_TEST(restarted.count(200) == 2U);
 }
 
+// Guards against: a request that crashes replicas is sent on if each attempt
+// comes from another address of its caller.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_replicas_is_known_from_any_address)
+{
+    relay_cluster cluster;
+    for (const auto* address : {"127.0.0.2", "127.0.0.3"})
+    {
+        cluster.replicas.back()->close();
+        cluster.add_replica("r-1", 5000ms);
+        cluster.io.run_for(1200ms);
+        cluster.send_from(address, "/one/x");
+        cluster.io.run_for(50ms);
+        cluster.replicas.back()->close();
+        cluster.io.run_for(300ms);
+    }
+    BOOST_TEST(cluster.arrivals == 2U);
+    cluster.add_replica("r-1", 5ms);
+    cluster.io.run_for(500ms);
+    cluster.send_from("127.0.0.4", "/one/x");
+    cluster.io.run_for(200ms);
+    cluster.send_from("127.0.0.4", "/one/y");
+    cluster.io.run_for(200ms);
+    BOOST_TEST(cluster.arrivals == 3U);
+    BOOST_TEST_REQUIRE(cluster.status_lines.size() == 4U);
+    BOOST_TEST(cluster.status_lines[2].starts_with("HTTP/1.1 503"));
+    BOOST_TEST(cluster.status_lines[3].starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(running_work_of_a_lapsed_registration_is_delivered_once)
 {
     relay_cluster cluster;
--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -250,7 +250,8 @@
     std::uint64_t
     start(const std::string& id,
           const std::string& target,
-          std::chrono::milliseconds time_left = std::chrono::milliseconds(400))
+          std::chrono::milliseconds time_left = std::chrono::milliseconds(400),
+          const std::string& caller_address = "10.0.0.1")
     {
         auto message = std::make_shared<ports::forwarded_request>();
         message->id = id;
@@ -259,6 +260,7 @@
         message->host = "h.example";
         relay::caller_request request;
         request.message = message;
+        request.caller = caller_address;
         request.time_left = time_left;
         request.round_trip = std::chrono::milliseconds(2);
         const auto sent_at = this->loop.now();
