Know a request that crashes replicas from any address of its caller

Callers saw: a request under which three replicas had ended was sent to replicas 8 or 9 times more; each time a replica ended, and usual requests of the route were refused while three of four were down.

Cause: the fingerprint that identifies a request over the caller's attempts contained the IP address of the connection. The platform's callers connect from changing addresses, so each attempt counted as another request with one crash. Class: an identity taken from a detail of the transport instead of from what the replica is given.

Ruled out: ends that go unnoticed, answers that clear the request, knowledge that is lost (each crash is logged and reported), a wrong count (the one fingerprint that recurred was refused at once).

Change: method, host, target and body identify a request, and the credentials that the caller sent, since a replica may do something else for another caller. The address is only logged. A replica is never told the address, so the request's effect cannot depend on it.

--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -41,7 +41,8 @@
 struct caller_request
 {
     std::shared_ptr<const ports::forwarded_request> message;
-    std::string caller;          ///< IP address of the caller
+    std::string caller_address;  ///< IP address, for the log
+    std::string credentials;     ///< of the caller; empty if it sent none
     base::duration time_left{};  ///< until the caller's deadline
     base::duration round_trip{}; ///< network round trip to the caller
 };
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -37,7 +37,7 @@
         const auto content =
             base::fingerprint_of(message.host + message.target, message.body);
         this->known_fingerprint = base::hash_of(
-            this->request.caller, base::hash_of(message.method, content));
+            this->request.credentials, base::hash_of(message.method, content));
     }
     return *this->known_fingerprint;
 }
@@ -137,7 +137,7 @@
          {"replica", attempt.target->record.id},
          {"silent", is_silent ? "1" : "0"},
          {"fingerprint", std::to_string(this->fingerprint())},
-         {"caller", this->request.caller},
+         {"caller", this->request.caller_address},
          {"method", message.method},
          {"host", message.host},
          {"target", message.target.substr(0, max_logged_target)},
--- a/tests/relay/test_crash_fleet.cpp
+++ b/tests/relay/test_crash_fleet.cpp
@@ -112,7 +112,8 @@
             "crash-" + std::to_string(index),
             path,
             caller_timeout,
-            "10.0.0." + std::to_string(index % this->caller_addresses));
+            {.address =
+                 "10.0.0." + std::to_string(index % this->caller_addresses)});
     }
 
     /// The node to which the next request is sent.
--- a/tests/relay/test_relay_crashes.cpp
+++ b/tests/relay/test_relay_crashes.cpp
@@ -51,9 +51,10 @@
 
     /// Sends a request and waits until crashed replicas have restarted.
     relay::caller_answer run_request(const std::string& id,
-                                     const std::string& path)
+                                     const std::string& path,
+                                     const simulated_caller& caller = {})
     {
-        this->simulation.start(id, path, caller_timeout);
+        this->simulation.start(id, path, caller_timeout, caller);
         this->simulation.loop.run_for(5s);
         return this->simulation.answers.at(id);
     }
@@ -85,6 +86,20 @@
     BOOST_TEST((fixture.run_request("other", "/l/y").code == result_code::ok));
 }
 
+// What another caller asks for at the same path may be something else.
+BOOST_AUTO_TEST_CASE(a_caller_with_other_credentials_is_served)
+{
+    crashing_replicas fixture;
+    const simulated_caller first{.credentials = "Bearer one"};
+    const simulated_caller second{.credentials = "Bearer two"};
+    fixture.run_request("crash-1", "/l/x", first);
+    fixture.run_request("crash-2", "/l/x", first);
+    BOOST_TEST((fixture.run_request("crash-3", "/l/x", first).code ==
+                result_code::request_quarantined));
+    BOOST_TEST(
+        (fixture.run_request("other", "/l/x", second).code == result_code::ok));
+}
+
 BOOST_AUTO_TEST_CASE(a_second_attempt_crashes_one_replica_only)
 {
     crashing_replicas fixture;
@@ -147,8 +162,8 @@
 
 BOOST_AUTO_TEST_CASE(a_usual_request_hit_by_unrelated_crashes_is_not_refused)
 {
-    // Many callers behind one IP address send the same request, while the two
-    // replicas crash alternately for another reason.
+    // Many callers send the same request, while the two replicas crash
+    // alternately for another reason.
     crashing_replicas fixture(800ms);
     fixture.simulation.replicas.behaviour =
         [&fixture, first = fixture.simulation.replicas.behaviour](
--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -170,6 +170,14 @@
     std::map<std::uint64_t, handler> pending;
 };
 
+/// @brief How a caller presents itself.
+struct simulated_caller
+{
+    std::string address = "10.0.0.1";
+    std::string credentials{};
+    std::string host = "h.example";
+};
+
 /// @brief A relay engine with three routes: a search over all shards, and two
 ///        to a single destination, of which only `lookup` is idempotent.
 ///        Each service has a replica in the engine's zone and one elsewhere.
@@ -251,16 +259,17 @@
     start(const std::string& id,
           const std::string& target,
           std::chrono::milliseconds time_left = std::chrono::milliseconds(400),
-          const std::string& caller_address = "10.0.0.1")
+          const simulated_caller& caller = {})
     {
         auto message = std::make_shared<ports::forwarded_request>();
         message->id = id;
         message->method = "GET";
         message->target = target;
-        message->host = "h.example";
+        message->host = caller.host;
         relay::caller_request request;
         request.message = message;
-        request.caller = caller_address;
+        request.caller_address = caller.address;
+        request.credentials = caller.credentials;
         request.time_left = time_left;
         request.round_trip = std::chrono::milliseconds(2);
         const auto sent_at = this->loop.now();
