Know a request that crashes replicas in any spelling of its host

The host of the matched route takes its place.

test_relay_crashes, a_host_in_another_spelling_is_the_same_request, failed before: four replicas ended instead of three, the third attempt was sent.

--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -34,8 +34,8 @@
     if (!this->known_fingerprint)
     {
         const auto& message = *this->request.message;
-        const auto content =
-            base::fingerprint_of(message.host + message.target, message.body);
+        const auto content = base::fingerprint_of(
+            this->matched_route->host + message.target, message.body);
         this->known_fingerprint = base::hash_of(
             this->request.credentials, base::hash_of(message.method, content));
     }
--- a/tests/relay/test_relay_crashes.cpp
+++ b/tests/relay/test_relay_crashes.cpp
@@ -86,6 +86,19 @@
     BOOST_TEST((fixture.run_request("other", "/l/y").code == result_code::ok));
 }
 
+// Guards against: a request counts as another one if its host is spelled
+// differently, although its route is the same.
+BOOST_AUTO_TEST_CASE(a_host_in_another_spelling_is_the_same_request)
+{
+    crashing_replicas fixture;
+    fixture.run_request("crash-1", "/l/x", {.host = "h.example"});
+    fixture.run_request("crash-2", "/l/x", {.host = "H.Example:8080"});
+    BOOST_TEST(fixture.crashes == 3U);
+    BOOST_TEST(
+        (fixture.run_request("crash-3", "/l/x", {.host = "h.EXAMPLE"}).code ==
+         result_code::request_quarantined));
+}
+
 // What another caller asks for at the same path may be something else.
 BOOST_AUTO_TEST_CASE(a_caller_with_other_credentials_is_served)
 {
