--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -92,13 +92,14 @@
                      this->store,
                      this->log,
                      std::string(platform::names::quarantine_prefix)),
-          mirror(
-              [this](const ports::store_item& item)
-              {
-                  this->on_item(item);
-              }),
+          mirror(this->log,
+                 [this](const ports::store_item& item)
+                 {
+                     this->on_item(item);
+                 }),
           feed(this->runtime, this->mirror),
           follower(this->runtime,
+                   this->log,
                    this->mirror,
                    [this](bool is_reachable, const std::string& reason)
                    {
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -81,6 +81,8 @@
     source_regained = 1035,
     replica_leaving = 1036,
     replica_backs_off = 1037,
+    store_listed = 1038,
+    change_ignored = 1039,
     node_listed = 1041,
     node_unlisted = 1042,
     node_heard = 1043,
--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -33,9 +33,10 @@
 } // namespace
 
 store_follower::store_follower(ports::runtime& runtime,
+                               ports::event_log& log,
                                store_mirror& mirror,
                                reach_handler on_reach)
-    : runtime(runtime), mirror(mirror), on_reach(std::move(on_reach))
+    : runtime(runtime), log(log), mirror(mirror), on_reach(std::move(on_reach))
 {
 }
 
@@ -115,6 +116,11 @@
     }
     this->mirror.apply_listing(
         this->listing_items, this->listing_revision, this->may_have_lapsed());
+    this->log.write(
+        base::log_event::store_listed,
+        {{"revision", std::to_string(this->listing_revision)},
+         {"era", page->era ? std::to_string(*page->era) : std::string()},
+         {"items", std::to_string(this->listing_items.size())}});
     this->listing_items.clear();
     this->listing_items.shrink_to_fit();
     this->watch();
--- a/src/core/relay/store_follower.hpp
+++ b/src/core/relay/store_follower.hpp
@@ -9,6 +9,7 @@
 
 #include <core/base/time.hpp>
 #include <core/relay/store_mirror.hpp>
+#include <ports/event_log.hpp>
 #include <ports/metadata_store.hpp>
 #include <ports/runtime.hpp>
 
@@ -25,9 +26,10 @@
     using reach_handler =
         std::function<void(bool is_reachable, const std::string& reason)>;
 
-    /// @brief Creates a follower without a source; mirror and runtime must
+    /// @brief Creates a follower without a source; the references must
     ///        outlive it.
     store_follower(ports::runtime& runtime,
+                   ports::event_log& log,
                    store_mirror& mirror,
                    reach_handler on_reach);
 
@@ -70,6 +72,7 @@
     void call_later(base::duration delay, void (store_follower::*call)());
 
     ports::runtime& runtime;
+    ports::event_log& log;
     store_mirror& mirror;
     reach_handler on_reach;
     ports::metadata_reader* source = nullptr;
--- a/src/core/relay/store_mirror.cpp
+++ b/src/core/relay/store_mirror.cpp
@@ -16,8 +16,9 @@
 } // namespace
 
 store_mirror::store_mirror(
+    ports::event_log& log,
     std::function<void(const ports::store_item&)> on_change)
-    : on_change(std::move(on_change))
+    : log(log), on_change(std::move(on_change))
 {
 }
 
@@ -25,7 +26,16 @@
 {
     for (const auto& item : page.items)
     {
-        this->apply(item);
+        const auto& known = this->items[item.key];
+        const bool differs =
+            known.is_removed != item.is_removed || known.value != item.value;
+        if (!this->apply(item) && differs)
+        {
+            this->log.write(base::log_event::change_ignored,
+                            {{"key", item.key},
+                             {"revision", std::to_string(item.revision)},
+                             {"known", std::to_string(known.revision)}});
+        }
     }
     this->known_revision = std::max(this->known_revision, page.revision);
 }
@@ -64,7 +74,7 @@
     this->has_listing = true;
 }
 
-void store_mirror::apply(const ports::store_item& item)
+bool store_mirror::apply(const ports::store_item& item)
 {
     auto& current = this->items[item.key];
     const bool is_newer = item.revision > current.revision ||
@@ -72,7 +82,7 @@
                            item.is_removed && !current.is_removed);
     if (!is_newer)
     {
-        return;
+        return false;
     }
     current = item;
     this->history.push_back(item);
@@ -82,6 +92,7 @@
         this->history.pop_front();
     }
     this->on_change(item);
+    return true;
 }
 
 ports::store_page store_mirror::listing() const
--- a/src/core/relay/store_mirror.hpp
+++ b/src/core/relay/store_mirror.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include <ports/event_log.hpp>
 #include <ports/metadata_store.hpp>
 
 namespace hawthornrelay::core::relay
@@ -20,10 +21,10 @@
 class store_mirror
 {
   public:
-    /// @brief Creates an empty mirror.
+    /// @brief Creates an empty mirror; the log must outlive it.
     /// @param on_change called for each applied change
-    explicit store_mirror(
-        std::function<void(const ports::store_item&)> on_change);
+    store_mirror(ports::event_log& log,
+                 std::function<void(const ports::store_item&)> on_change);
 
     /// @brief Applies changes from a watch.
     /// @param page the changes and the revision that they lead to
@@ -58,8 +59,10 @@
     changes_since(std::uint64_t revision) const;
 
   private:
-    void apply(const ports::store_item& item);
+    /// @return false if the known item is as new
+    bool apply(const ports::store_item& item);
 
+    ports::event_log& log;
     std::function<void(const ports::store_item&)> on_change;
     std::map<std::string, ports::store_item> items; ///< removals included
     std::deque<ports::store_item> history;
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
     std::vector<store_item> items;
     bool has_more = false;
     std::uint64_t revision = 0; ///< the store's revision when it answered
+    /// Rises whenever the store is restored from a copy, after which revisions
+    /// go back and are given out again; nullopt if the source does not tell.
+    std::optional<std::uint64_t> era{};
 };
 
 /// @brief Receives the outcome of one call.
--- a/tests/relay/test_relay_parts.cpp
+++ b/tests/relay/test_relay_parts.cpp
@@ -13,12 +13,14 @@
 #include <core/relay/record_merge.hpp>
 #include <core/relay/replica_registry.hpp>
 #include <core/relay/store_mirror.hpp>
+#include <support/relay_simulation.hpp>
 
 using namespace hawthornrelay;
 using namespace hawthornrelay::core::relay;
 using namespace std::chrono_literals;
 using core::base::duration;
 using core::base::time_point;
+using tests::support::recording_log;
 
 namespace
 {
@@ -299,11 +301,12 @@
 BOOST_AUTO_TEST_CASE(values_only_move_forward)
 {
     std::vector<std::string> applied;
-    store_mirror copy(
-        [&](const ports::store_item& changed)
-        {
-            applied.push_back(changed.key + changed.value);
-        });
+    recording_log log;
+    store_mirror copy(log,
+                      [&](const ports::store_item& changed)
+                      {
+                          applied.push_back(changed.key + changed.value);
+                      });
     copy.apply_listing({item("k", 5)}, 6, false);
     copy.apply_changes({{item("k", 4), item("k", 5)}, false, 4});
     copy.apply_changes({{item("k", 7)}, false, 7});
@@ -314,11 +317,13 @@
 BOOST_AUTO_TEST_CASE(a_listing_removes_what_it_does_not_name)
 {
     std::size_t removed = 0;
-    store_mirror copy(
-        [&](const ports::store_item& changed)
-        {
-            removed += changed.is_removed && changed.may_have_lapsed;
-        });
+    recording_log log;
+    store_mirror copy(log,
+                      [&](const ports::store_item& changed)
+                      {
+                          removed +=
+                              changed.is_removed && changed.may_have_lapsed;
+                      });
     copy.apply_listing({item("old", 1), item("new", 9)}, 9, false);
     copy.apply_listing({}, 5, true); // from a source that lags
     BOOST_TEST(removed == 1U);
@@ -328,7 +333,8 @@
 
 BOOST_AUTO_TEST_CASE(others_get_the_changes_they_miss_or_must_list)
 {
-    store_mirror copy([](const ports::store_item&) {});
+    recording_log log;
+    store_mirror copy(log, [](const ports::store_item&) {});
     BOOST_TEST(!copy.changes_since(0));
     copy.apply_listing({item("k", 5)}, 10, false);
     copy.apply_changes({{item("l", 11), item("m", 12)}, false, 12});
