Show, failing, that changes are missed after the store was restored from a copy

changes_after_a_restore_of_the_store_are_in_force: 2 of 4 nodes serve the added route, and the nodes list the store 18,922 times in 2.5 s. changes_are_not_missed_if_a_restored_store_is_ahead: no node serves it. The stand-in of the store can go back to a copy and names its era in all answers.

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -855,6 +855,72 @@
     BOOST_TEST(cluster.count(200) == 1U);
 }
 
+/// Sends a query to each node and checks that it is answered.
+void check_served_by_all(relay_cluster& cluster, const std::string& target)
+{
+    const auto before = cluster.count(200);
+    for (std::size_t node = 0; node < cluster.settings.size(); ++node)
+    {
+        cluster.send_query(target, node);
+    }
+    cluster.io.run_for(200ms);
+    BOOST_TEST(cluster.count(200) == before + cluster.settings.size());
+}
+
+// Guards against: after the store was restored from an older copy, changes of
+// the configuration are ignored, since their revisions were given out before.
+BOOST_AUTO_TEST_CASE(changes_after_a_restore_of_the_store_are_in_force)
+{
+    relay_cluster cluster(4);
+    const auto write_configuration =
+        [&cluster](std::uint64_t version, std::string prefix)
+    {
+        auto changed = relay_cluster::configuration(version);
+        changed.replace(changed.find("/one/"), 5, prefix);
+        cluster.store.write("op/config", changed);
+    };
+    cluster.store.take_copy();
+    write_configuration(2, "/two/");
+    for (int i = 0; i < 5; ++i)
+    {
+        cluster.add_replica("r-" + std::to_string(i), 5ms);
+    }
+    cluster.io.run_for(500ms);
+    check_served_by_all(cluster, "/two/x");
+    const auto listings = cluster.store.listings;
+    cluster.store.restore_copy();
+    write_configuration(2, "/two/");
+    cluster.io.run_for(1000ms);
+    write_configuration(3, "/three/");
+    cluster.io.run_for(1500ms);
+    check_served_by_all(cluster, "/three/x");
+    // Two nodes read the store; others may, once, while their source changes.
+    BOOST_TEST(cluster.store.listings - listings <= 4U);
+}
+
+// Guards against: the store has passed the known revision again before a node
+// asks, so that its watch succeeds and the changes below are missed.
+BOOST_AUTO_TEST_CASE(changes_are_not_missed_if_a_restored_store_is_ahead)
+{
+    relay_cluster cluster(4);
+    cluster.store.take_copy();
+    for (int i = 0; i < 3; ++i)
+    {
+        cluster.add_replica("r-1", 5ms);
+    }
+    cluster.io.run_for(500ms);
+    cluster.store.restore_copy();
+    auto changed = relay_cluster::configuration(2);
+    changed.replace(changed.find("/one/"), 5, "/two/");
+    cluster.store.write("op/config", changed);
+    for (int i = 0; i < 9; ++i)
+    {
+        cluster.add_replica("r-1", 5ms);
+    }
+    cluster.io.run_for(1500ms);
+    check_served_by_all(cluster, "/two/x");
+}
+
 BOOST_AUTO_TEST_CASE(a_node_registers_again_after_a_lost_answer_or_lapsed_lease)
 {
     relay_cluster cluster(0);
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -20,7 +20,7 @@
 {
 
 /// @brief Keys, revisions, watches and leases, with faults: silence, refusals,
-///        lost history and lost answers to writes.
+///        lost history, lost answers to writes, and restores from a copy.
 class platform_store
 {
   public:
@@ -64,6 +64,27 @@
         this->history_start = this->revision;
     }
 
+    /// Keeps a copy of the present state for restore_copy().
+    void take_copy()
+    {
+        this->copy = {this->items, this->leases, this->revision};
+    }
+
+    /// Goes back to the copy, revisions and leases included.
+    void restore_copy()
+    {
+        this->items = this->copy.items;
+        this->leases = this->copy.leases;
+        this->revision = this->copy.revision;
+        this->compact_history();
+        ++this->era;
+        for (const auto& item : std::exchange(this->watchers, {}))
+        {
+            item->timer->cancel();
+            this->answer(item->respond, 0); // closes the connection
+        }
+    }
+
     [[nodiscard]] bool has(const std::string& key) const
     {
         return this->items.contains(key);
@@ -133,12 +154,13 @@
         return value;
     }
 
-    static void answer(const adapters::http::responder& respond,
-                       unsigned status,
-                       const object& body = {})
+    void answer(const adapters::http::responder& respond,
+                unsigned status,
+                const object& body = {}) const
     {
         adapters::http::response reply;
         reply.status = status;
+        reply.headers["Store-Era"] = std::to_string(this->era);
         reply.body = boost::json::serialize(body);
         respond(std::move(reply));
     }
@@ -179,7 +201,7 @@
 
     void answer_watch(const watcher& item)
     {
-        if (item.after < this->history_start)
+        if (item.after < this->history_start || item.after > this->revision)
         {
             answer(item.respond, 410);
             return;
@@ -253,7 +275,7 @@
         item->after = parse_number(query_parameter(target, "after"));
         item->respond = respond;
         item->timer = std::make_shared<boost::asio::steady_timer>(this->io);
-        if (item->after < this->history_start || item->after < this->revision)
+        if (item->after != this->revision)
         {
             this->answer_watch(*item);
             return;
@@ -341,6 +363,13 @@
     std::vector<std::uint64_t> leases;
 
   private:
+    struct saved_state
+    {
+        std::map<std::string, stored_item> items;
+        std::vector<std::uint64_t> leases;
+        std::uint64_t revision = 0;
+    };
+
     boost::asio::io_context& io;
     std::unique_ptr<adapters::http::server> server;
     std::map<std::string, stored_item> items;
@@ -349,6 +378,8 @@
     std::uint64_t revision = 1;
     std::uint64_t history_start = 0;
     std::uint64_t last_lease = 0;
+    std::uint64_t era = 1;
+    saved_state copy;
 };
 
 } // namespace hawthornrelay::tests::support
