Follow the store into its next era after a restore from a copy

Cause: positions in the store's history were compared by revision alone, but a restore gives revisions out again. Class: a clock that goes back. The mirror ignored what had a lower revision than it had; the watch continued from a revision that the store did not have, or had passed again with other changes; a refused watch led to a listing at once, which the mirror ignored too, so each reader listed the store about 40 times a second until it had caught up.

Change: a position is a revision within an era (Store-Era, decoded in platform/). The listing of a later era replaces the mirror; pages of other eras are not applied, and followers of other nodes name the era that they continue from. The first watch of a source and after a failure returns at once, since a watch that waits would show the new era only after 2.5 s. A refused watch leads to one listing per 250 ms at most.

--- a/src/adapters/relay/peer_feed.cpp
+++ b/src/adapters/relay/peer_feed.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::string_view list_target = "/list";
 constexpr std::string_view watch_target = "/watch?after=";
+constexpr std::string_view era_parameter = "&era=";
 constexpr std::string_view wait_header = "wait-ms";
 
 constexpr unsigned status_gone = 410;
@@ -36,6 +37,28 @@
     return value;
 }
 
+ports::store_position read_watch_target(std::string_view target)
+{
+    target.remove_prefix(watch_target.size());
+    ports::store_position after{parse_number(target)};
+    if (const auto at = target.find(era_parameter);
+        at != std::string_view::npos)
+    {
+        after.era = parse_number(target.substr(at + era_parameter.size()));
+    }
+    return after;
+}
+
+std::string write_watch_target(const ports::store_position& after)
+{
+    auto target = std::string(watch_target) + std::to_string(after.revision);
+    if (after.era)
+    {
+        target += std::string(era_parameter) + std::to_string(*after.era);
+    }
+    return target;
+}
+
 std::string encode(const store_page& page)
 {
     flatbuffers::FlatBufferBuilder builder(1024);
@@ -51,8 +74,11 @@
                                                  item.is_removed,
                                                  item.may_have_lapsed));
     }
+    const auto era =
+        page.era ? flatbuffers::Optional<std::uint64_t>(*page.era)
+                 : flatbuffers::Optional<std::uint64_t>(flatbuffers::nullopt);
     builder.Finish(
-        schemas::CreateStorePageDirect(builder, &items, page.revision));
+        schemas::CreateStorePageDirect(builder, &items, page.revision, era));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -84,6 +110,10 @@
     const auto* from = flatbuffers::GetRoot<schemas::StorePage>(bytes);
     store_page page;
     page.revision = from->revision();
+    if (const auto era = from->era())
+    {
+        page.era = *era;
+    }
     if (from->items() == nullptr)
     {
         return page;
@@ -135,10 +165,13 @@
         respond(status_response(404));
         return;
     }
-    const pending_watch requested{
-        parse_number(
-            std::string_view(message.target).substr(watch_target.size())),
-        respond};
+    const pending_watch requested{read_watch_target(message.target), respond};
+    if (ports::is_earlier(this->mirror.position().era, requested.after.era))
+    {
+        // This copy lags behind the one of the node that asks.
+        respond(status_response(status_unavailable));
+        return;
+    }
     const auto changes = this->mirror.changes_since(requested.after);
     if (!changes || !changes->items.empty())
     {
@@ -164,10 +197,10 @@
 
 http::response peer_feed::listing()
 {
-    if (this->cached_revision != this->mirror.revision())
+    if (this->cached_position != this->mirror.position())
     {
         this->cached_listing = page_response(this->mirror.listing()).body;
-        this->cached_revision = this->mirror.revision();
+        this->cached_position = this->mirror.position();
     }
     http::response reply;
     reply.content_type = "application/octet-stream";
@@ -204,13 +237,11 @@
                std::move(done));
 }
 
-void peer_reader::watch(std::uint64_t after,
+void peer_reader::watch(const ports::store_position& after,
                         std::chrono::milliseconds wait,
                         ports::store_handler<store_page> done)
 {
-    this->call(std::string(watch_target) + std::to_string(after),
-               wait,
-               std::move(done));
+    this->call(write_watch_target(after), wait, std::move(done));
 }
 
 void peer_reader::call(std::string target,
--- a/src/adapters/relay/peer_feed.hpp
+++ b/src/adapters/relay/peer_feed.hpp
@@ -39,7 +39,7 @@
   private:
     struct pending_watch
     {
-        std::uint64_t after = 0;
+        ports::store_position after;
         http::responder respond;
     };
 
@@ -52,7 +52,7 @@
     std::uint64_t next_watch_id = 1;
     /// Encoded listing, cached since many starting nodes ask for the same one.
     std::string cached_listing;
-    std::uint64_t cached_revision = 0;
+    ports::store_position cached_position;
 };
 
 /// @brief Reads the mirror of another node.
@@ -66,7 +66,7 @@
 
     void list(const std::string& after,
               ports::store_handler<ports::store_page> done) override;
-    void watch(std::uint64_t after,
+    void watch(const ports::store_position& after,
                std::chrono::milliseconds wait,
                ports::store_handler<ports::store_page> done) override;
 
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -353,11 +353,11 @@
 
 void node::on_source_status(bool is_reachable, const std::string& reason)
 {
-    this->log.write(is_reachable ? log_event::source_regained
-                                 : log_event::source_lost,
-                    {{"source", this->members.source_name()},
-                     {"revision", std::to_string(this->mirror.revision())},
-                     {"reason", reason}});
+    this->log.write(
+        is_reachable ? log_event::source_regained : log_event::source_lost,
+        {{"source", this->members.source_name()},
+         {"revision", std::to_string(this->mirror.position().revision)},
+         {"reason", reason}});
 }
 
 void node::on_item(const ports::store_item& item)
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -98,6 +98,7 @@
         log_event::replica_backs_off, "replica_backs_off", log_level::info},
     event_row{log_event::store_listed, "store_listed", log_level::info},
     event_row{log_event::change_ignored, "change_ignored", log_level::warning},
+    event_row{log_event::store_restored, "store_restored", log_level::warning},
     event_row{log_event::node_listed, "node_listed", log_level::info},
     event_row{log_event::node_unlisted, "node_unlisted", log_level::info},
     event_row{log_event::node_heard, "node_heard", log_level::info},
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -83,6 +83,7 @@
     replica_backs_off = 1037,
     store_listed = 1038,
     change_ignored = 1039,
+    store_restored = 1040,
     node_listed = 1041,
     node_unlisted = 1042,
     node_heard = 1043,
--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -16,6 +16,10 @@
 /// plus the answer timeout.
 constexpr std::chrono::milliseconds watch_wait{2500};
 
+/// Wait of the first watch of a source and after a failure. Its answer shows
+/// whether the store was restored meanwhile.
+constexpr std::chrono::milliseconds first_watch_wait{1};
+
 /// Delay after a watch with changes, so that one call returns several.
 constexpr std::chrono::milliseconds batch_delay{250};
 
@@ -61,6 +65,7 @@
 void store_follower::start_reading()
 {
     ++this->generation;
+    this->has_answered = false;
     if (this->mirror.is_complete())
     {
         this->watch();
@@ -73,8 +78,7 @@
 
 void store_follower::start_listing()
 {
-    this->listing_items.clear();
-    this->listing_revision = 0;
+    this->listing = {};
     this->list({});
 }
 
@@ -100,37 +104,75 @@
         return;
     }
     this->on_success();
-    if (this->listing_revision == 0)
+    if (this->listing.revision == 0)
     {
-        // The watch starts at the first page's revision, so that it returns the
-        // changes during the listing.
-        this->listing_revision = page->revision;
+        this->listing.revision = page->revision;
+        this->listing.era = page->era;
+    }
+    if (this->listing.era != page->era)
+    {
+        this->call_later(retry_delay, &store_follower::start_listing);
+        return;
     }
     std::move(page->items.begin(),
               page->items.end(),
-              std::back_inserter(this->listing_items));
+              std::back_inserter(this->listing.items));
     if (page->has_more && !page->items.empty())
     {
-        this->list(this->listing_items.back().key);
+        this->list(this->listing.items.back().key);
+        return;
+    }
+    this->on_listed();
+}
+
+void store_follower::on_listed()
+{
+    const auto listed = std::exchange(this->listing, {});
+    const auto before = this->mirror.position();
+    if (!this->mirror.apply_listing(listed, this->may_have_lapsed()))
+    {
+        this->on_failure({base::result_code::platform_unreachable,
+                          "the source has not noticed a restore of the store"});
+        this->call_later(retry_delay, &store_follower::start_listing);
         return;
     }
-    this->mirror.apply_listing(
-        this->listing_items, this->listing_revision, this->may_have_lapsed());
-    this->log.write(
-        base::log_event::store_listed,
-        {{"revision", std::to_string(this->listing_revision)},
-         {"era", page->era ? std::to_string(*page->era) : std::string()},
-         {"items", std::to_string(this->listing_items.size())}});
-    this->listing_items.clear();
-    this->listing_items.shrink_to_fit();
+    this->listed_at = this->runtime.now();
+    const auto era_text = [](ports::store_era era)
+    {
+        return era ? std::to_string(*era) : std::string();
+    };
+    this->log.write(base::log_event::store_listed,
+                    {{"revision", std::to_string(listed.revision)},
+                     {"era", era_text(listed.era)},
+                     {"items", std::to_string(listed.items.size())}});
+    if (ports::is_earlier(before.era, listed.era))
+    {
+        this->log.write(base::log_event::store_restored,
+                        {{"era", era_text(listed.era)},
+                         {"revision", std::to_string(listed.revision)},
+                         {"known_era", era_text(before.era)},
+                         {"known_revision", std::to_string(before.revision)}});
+    }
     this->watch();
 }
 
+void store_follower::list_again()
+{
+    if (this->runtime.now() - this->listed_at < retry_delay)
+    {
+        this->call_later(retry_delay, &store_follower::start_listing);
+    }
+    else
+    {
+        this->start_listing();
+    }
+}
+
 void store_follower::watch()
 {
     this->source->watch(
-        this->mirror.revision(),
-        watch_wait,
+        this->mirror.position(),
+        this->has_answered ? watch_wait : first_watch_wait,
         [this,
          call_generation = this->generation,
          sent_at = this->runtime.now()](base::result<ports::store_page> page)
@@ -149,7 +191,7 @@
     {
         if (page.error().code == base::result_code::history_gone)
         {
-            this->start_listing();
+            this->list_again();
             return;
         }
         this->on_failure(page.error());
@@ -167,8 +209,11 @@
         item.may_have_lapsed = item.is_removed && (item.may_have_lapsed ||
                                                    this->may_have_lapsed());
     }
-    this->mirror.apply_changes(*page);
-    if (has_changes)
+    if (!this->mirror.apply_changes(*page))
+    {
+        this->list_again();
+    }
+    else if (has_changes)
     {
         this->call_later(batch_delay, &store_follower::watch);
     }
@@ -181,6 +226,7 @@
 void store_follower::on_success()
 {
     this->last_answer = this->runtime.now();
+    this->has_answered = true;
     if (!this->reachable)
     {
         this->reachable = true;
@@ -192,6 +238,7 @@
 void store_follower::on_failure(const base::error& error)
 {
     this->record_outage();
+    this->has_answered = false;
     if (this->reachable)
     {
         this->reachable = false;
--- a/src/core/relay/store_follower.hpp
+++ b/src/core/relay/store_follower.hpp
@@ -64,6 +64,9 @@
     void start_listing();
     void list(const std::string& after);
     void on_page(base::result<ports::store_page> page);
+    void on_listed();
+    /// Lists again, after a delay if it has just done so.
+    void list_again();
     void watch();
     void on_changes(base::time_point sent_at,
                     base::result<ports::store_page> page);
@@ -77,12 +80,15 @@
     reach_handler on_reach;
     ports::metadata_reader* source = nullptr;
     std::uint64_t generation = 0;
-    std::vector<ports::store_item> listing_items;
-    std::uint64_t listing_revision = 0;
+    /// The pages so far; the state is that of the first one, so that the watch
+    /// returns the changes during the listing.
+    ports::store_page listing;
+    base::time_point listed_at{};
     base::time_point last_answer{};
     base::time_point last_failure{};
     bool has_failed = false;
     bool reachable = true;
+    bool has_answered = false; ///< since the last failure or switch
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/store_mirror.cpp
+++ b/src/core/relay/store_mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace hawthornrelay::core::relay
@@ -22,69 +23,133 @@
 {
 }
 
-void store_mirror::apply_changes(const ports::store_page& page)
+bool store_mirror::apply_changes(const ports::store_page& page)
 {
+    if (ports::is_earlier(page.era, this->known.era) ||
+        ports::is_earlier(this->known.era, page.era))
+    {
+        return false;
+    }
     for (const auto& item : page.items)
     {
-        const auto& known = this->items[item.key];
-        const bool differs =
-            known.is_removed != item.is_removed || known.value != item.value;
+        const auto& current = this->items[item.key];
+        const bool differs = current.is_removed != item.is_removed ||
+                             current.value != item.value;
         if (!this->apply(item) && differs)
         {
             this->log.write(base::log_event::change_ignored,
                             {{"key", item.key},
                              {"revision", std::to_string(item.revision)},
-                             {"known", std::to_string(known.revision)}});
+                             {"known", std::to_string(current.revision)}});
         }
     }
-    this->known_revision = std::max(this->known_revision, page.revision);
+    this->known.revision = std::max(this->known.revision, page.revision);
+    this->known.era = page.era ? page.era : this->known.era;
+    return true;
 }
 
-void store_mirror::apply_listing(const std::vector<ports::store_item>& listed,
-                                 std::uint64_t revision,
+bool store_mirror::apply_listing(const ports::store_page& listing,
                                  bool may_have_lapsed)
 {
-    std::set<std::string> listed_keys;
-    for (const auto& item : listed)
+    if (ports::is_earlier(listing.era, this->known.era))
+    {
+        return false;
+    }
+    if (ports::is_earlier(this->known.era, listing.era))
+    {
+        this->apply_restored(listing);
+        return true;
+    }
+    for (const auto& item : listing.items)
     {
-        listed_keys.insert(item.key);
         this->apply(item);
     }
+    this->remove_unlisted(listing, may_have_lapsed);
+    if (listing.revision > this->known.revision || !this->has_listing)
+    {
+        // The listing does not contain intermediate changes.
+        this->history.clear();
+        this->history_begins = listing.revision;
+        this->known.revision = std::max(this->known.revision, listing.revision);
+    }
+    this->known.era = listing.era ? listing.era : this->known.era;
+    this->has_listing = true;
+    return true;
+}
+
+void store_mirror::apply_restored(const ports::store_page& listing)
+{
+    std::erase_if(this->items,
+                  [](const auto& entry)
+                  {
+                      return entry.second.is_removed;
+                  });
+    for (auto& [key, item] : this->items)
+    {
+        item.revision = 0;
+    }
+    this->known = {listing.revision, listing.era};
+    for (const auto& item : listing.items)
+    {
+        auto& current = this->items[item.key];
+        const bool is_same =
+            current.key == item.key && current.value == item.value;
+        if (is_same)
+        {
+            current.revision = item.revision;
+        }
+        else
+        {
+            this->replace(item);
+        }
+    }
+    this->remove_unlisted(listing, true);
+    this->history.clear();
+    this->history_begins = listing.revision;
+}
+
+void store_mirror::remove_unlisted(const ports::store_page& listing,
+                                   bool may_have_lapsed)
+{
+    std::set<std::string_view> listed_keys;
+    for (const auto& item : listing.items)
+    {
+        listed_keys.insert(item.key);
+    }
     std::vector<ports::store_item> removals;
     for (const auto& [key, item] : this->items)
     {
-        const bool is_gone = !item.is_removed && item.revision <= revision &&
+        const bool is_gone = !item.is_removed &&
+                             item.revision <= listing.revision &&
                              !listed_keys.contains(key);
         if (is_gone)
         {
-            removals.push_back({key, {}, revision, true, may_have_lapsed});
+            removals.push_back(
+                {key, {}, listing.revision, true, may_have_lapsed});
         }
     }
     for (const auto& removal : removals)
     {
         this->apply(removal);
     }
-    if (revision > this->known_revision || !this->has_listing)
-    {
-        // The listing does not contain intermediate changes.
-        this->history.clear();
-        this->history_begins = revision;
-        this->known_revision = std::max(this->known_revision, revision);
-    }
-    this->has_listing = true;
 }
 
 bool store_mirror::apply(const ports::store_item& item)
 {
-    auto& current = this->items[item.key];
+    const auto& current = this->items[item.key];
     const bool is_newer = item.revision > current.revision ||
                           (item.revision == current.revision &&
                            item.is_removed && !current.is_removed);
-    if (!is_newer)
+    if (is_newer)
     {
-        return false;
+        this->replace(item);
     }
-    current = item;
+    return is_newer;
+}
+
+void store_mirror::replace(const ports::store_item& item)
+{
+    this->items[item.key] = item;
     this->history.push_back(item);
     while (this->history.size() > max_history)
     {
@@ -92,7 +157,6 @@
         this->history.pop_front();
     }
     this->on_change(item);
-    return true;
 }
 
 ports::store_page store_mirror::listing() const
@@ -105,26 +169,31 @@
             page.items.push_back(item);
         }
     }
-    page.revision = this->known_revision;
+    page.revision = this->known.revision;
+    page.era = this->known.era;
     return page;
 }
 
 std::optional<ports::store_page>
-store_mirror::changes_since(std::uint64_t revision) const
+store_mirror::changes_since(const ports::store_position& after) const
 {
-    if (!this->has_listing || revision < this->history_begins)
+    const bool is_in_history = this->has_listing &&
+                               after.revision >= this->history_begins &&
+                               !ports::is_earlier(after.era, this->known.era);
+    if (!is_in_history)
     {
         return std::nullopt;
     }
     ports::store_page page;
     for (const auto& item : this->history)
     {
-        if (item.revision > revision)
+        if (item.revision > after.revision)
         {
             page.items.push_back(item);
         }
     }
-    page.revision = std::max(this->known_revision, revision);
+    page.revision = std::max(this->known.revision, after.revision);
+    page.era = this->known.era;
     return page;
 }
 
--- a/src/core/relay/store_mirror.hpp
+++ b/src/core/relay/store_mirror.hpp
@@ -18,6 +18,9 @@
 
 /// @brief The newest known item of each key. An older revision never replaces
 ///        a newer one, whichever source it comes from.
+///
+/// Revisions compare within an era of the store only. The listing of a later
+/// era replaces all items.
 class store_mirror
 {
   public:
@@ -27,16 +30,17 @@
                  std::function<void(const ports::store_item&)> on_change);
 
     /// @brief Applies changes from a watch.
-    /// @param page the changes and the revision that they lead to
-    void apply_changes(const ports::store_page& page);
+    /// @param page the changes and the state that they lead to
+    /// @return false if the page is of another era: nothing was applied
+    bool apply_changes(const ports::store_page& page);
 
     /// @brief Applies a complete listing; keys that it lacks are removed.
-    /// @param listed the items of all keys
-    /// @param revision the store's revision when the listing began
-    /// @param may_have_lapsed set on the removals that it causes
-    void apply_listing(const std::vector<ports::store_item>& listed,
-                       std::uint64_t revision,
-                       bool may_have_lapsed);
+    /// @param listing the items of all keys and the store's state when the
+    ///        listing began
+    /// @param may_have_lapsed set on the removals that it causes; those of a
+    ///        later era always have it set
+    /// @return false if the listing is of an earlier era: nothing was applied
+    bool apply_listing(const ports::store_page& listing, bool may_have_lapsed);
 
     /// @brief True once a listing has been applied.
     [[nodiscard]] bool is_complete() const
@@ -44,30 +48,35 @@
         return this->has_listing;
     }
 
-    /// @brief The revision up to which all changes are known.
-    [[nodiscard]] std::uint64_t revision() const
+    /// @brief The state up to which all changes are known.
+    [[nodiscard]] const ports::store_position& position() const
     {
-        return this->known_revision;
+        return this->known;
     }
 
     /// @brief All items, for another node.
     [[nodiscard]] ports::store_page listing() const;
 
-    /// @brief The changes after a revision, for another node.
+    /// @brief The changes after a state, for another node.
     /// @return nullopt if the history does not go back that far
     [[nodiscard]] std::optional<ports::store_page>
-    changes_since(std::uint64_t revision) const;
+    changes_since(const ports::store_position& after) const;
 
   private:
     /// @return false if the known item is as new
     bool apply(const ports::store_item& item);
+    void replace(const ports::store_item& item);
+    /// Removes the keys that a listing lacks, unless they are newer.
+    void remove_unlisted(const ports::store_page& listing,
+                         bool may_have_lapsed);
+    void apply_restored(const ports::store_page& listing);
 
     ports::event_log& log;
     std::function<void(const ports::store_item&)> on_change;
     std::map<std::string, ports::store_item> items; ///< removals included
     std::deque<ports::store_item> history;
     std::uint64_t history_begins = 0; ///< history has all later changes
-    std::uint64_t known_revision = 0;
+    ports::store_position known;
     bool has_listing = false;
 };
 
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -29,15 +29,31 @@
     bool may_have_lapsed = false;
 };
 
+/// @brief Rises by one whenever the store is restored from a copy, after which
+///        its revisions go back and are given out again; nullopt if unknown.
+using store_era = std::optional<std::uint64_t>;
+
+/// @brief True if both eras are known and `left` is the earlier one.
+inline bool is_earlier(store_era left, store_era right)
+{
+    return left && right && *left < *right;
+}
+
+/// @brief A state of the store.
+struct store_position
+{
+    std::uint64_t revision = 0;
+    store_era era{};
+    bool operator==(const store_position&) const = default;
+};
+
 /// @brief One page of a listing, or the changes returned by a watch.
 struct store_page
 {
     std::vector<store_item> items;
     bool has_more = false;
     std::uint64_t revision = 0; ///< the store's revision when it answered
-    /// Rises whenever the store is restored from a copy, after which revisions
-    /// go back and are given out again; nullopt if the source does not tell.
-    std::optional<std::uint64_t> era{};
+    store_era era{};
 };
 
 /// @brief Receives the outcome of one call.
@@ -63,10 +79,11 @@
                       store_handler<store_page> done) = 0;
 
     /// @brief Waits for changes of any key.
-    /// @param after the revision to continue from
+    /// @param after the state to continue from
     /// @param wait how long to wait for a change
-    /// @param done receives the changes, none after a timeout; called once
-    virtual void watch(std::uint64_t after,
+    /// @param done receives the changes, none after a timeout; called once. A
+    ///        page of another era may lack changes.
+    virtual void watch(const store_position& after,
                        std::chrono::milliseconds wait,
                        store_handler<store_page> done) = 0;
 };
--- a/tests/relay/test_quarantine_writer.cpp
+++ b/tests/relay/test_quarantine_writer.cpp
@@ -28,7 +28,7 @@
     {
     }
 
-    void watch(std::uint64_t,
+    void watch(const ports::store_position&,
                std::chrono::milliseconds,
                ports::store_handler<ports::store_page>) override
     {
--- a/tests/relay/test_relay_parts.cpp
+++ b/tests/relay/test_relay_parts.cpp
@@ -307,11 +307,11 @@
                       {
                           applied.push_back(changed.key + changed.value);
                       });
-    copy.apply_listing({item("k", 5)}, 6, false);
+    copy.apply_listing({{item("k", 5)}, false, 6}, false);
     copy.apply_changes({{item("k", 4), item("k", 5)}, false, 4});
     copy.apply_changes({{item("k", 7)}, false, 7});
     BOOST_TEST((applied == std::vector<std::string>{"kv5", "kv7"}));
-    BOOST_TEST(copy.revision() == 7U);
+    BOOST_TEST(copy.position().revision == 7U);
 }
 
 BOOST_AUTO_TEST_CASE(a_listing_removes_what_it_does_not_name)
@@ -324,24 +324,36 @@
                           removed +=
                               changed.is_removed && changed.may_have_lapsed;
                       });
-    copy.apply_listing({item("old", 1), item("new", 9)}, 9, false);
-    copy.apply_listing({}, 5, true); // from a source that lags
+    copy.apply_listing({{item("old", 1), item("new", 9)}, false, 9}, false);
+    copy.apply_listing({{}, false, 5}, true); // from a source that lags
     BOOST_TEST(removed == 1U);
     BOOST_TEST(copy.listing().items.size() == 1U);
-    BOOST_TEST(copy.revision() == 9U);
+    BOOST_TEST(copy.position().revision == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(an_earlier_era_is_refused)
+{
+    recording_log log;
+    store_mirror copy(log, [](const ports::store_item&) {});
+    BOOST_TEST(copy.apply_listing({{item("k", 5)}, false, 5, 2}, false));
+    BOOST_TEST(!copy.apply_listing({{item("k", 9)}, false, 9, 1}, false));
+    BOOST_TEST(!copy.apply_changes({{item("k", 9)}, false, 9, 1}));
+    BOOST_TEST(copy.listing().items.front().value == "v5");
+    BOOST_TEST(!copy.changes_since({5, 1}));
+    BOOST_TEST(copy.changes_since({5, 2}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(others_get_the_changes_they_miss_or_must_list)
 {
     recording_log log;
     store_mirror copy(log, [](const ports::store_item&) {});
-    BOOST_TEST(!copy.changes_since(0));
-    copy.apply_listing({item("k", 5)}, 10, false);
+    BOOST_TEST(!copy.changes_since({0}));
+    copy.apply_listing({{item("k", 5)}, false, 10}, false);
     copy.apply_changes({{item("l", 11), item("m", 12)}, false, 12});
-    BOOST_TEST(copy.changes_since(10)->items.size() == 2U);
-    BOOST_TEST(copy.changes_since(11)->items.size() == 1U);
-    BOOST_TEST(copy.changes_since(12)->items.empty());
-    BOOST_TEST(!copy.changes_since(9));
+    BOOST_TEST(copy.changes_since({10})->items.size() == 2U);
+    BOOST_TEST(copy.changes_since({11})->items.size() == 1U);
+    BOOST_TEST(copy.changes_since({12})->items.empty());
+    BOOST_TEST(!copy.changes_since({9}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/relay/test_store_follower.cpp
@@ -0,0 +1,396 @@
+// Tests that the copies of the store that nodes keep, from the store or from
+// each other, end up equal to it, also after it was restored from a copy.
+#define BOOST_TEST_MODULE store_follower
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <core/relay/store_follower.hpp>
+#include <support/relay_simulation.hpp>
+
+using namespace std::chrono_literals;
+using namespace hawthornrelay::tests::support;
+namespace ports = hawthornrelay::ports;
+using hawthornrelay::core::base::fail;
+using hawthornrelay::core::base::result_code;
+using relay::store_follower;
+using relay::store_mirror;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds answer_delay{4};
+
+/// Answers listings and watches with a delay, and counts them.
+class simulated_reader : public ports::metadata_reader
+{
+  public:
+    explicit simulated_reader(event_loop& loop) : loop(loop)
+    {
+    }
+
+    void list(const std::string& /*after*/,
+              ports::store_handler<ports::store_page> done) override
+    {
+        ++this->listings;
+        this->loop.after(answer_delay,
+                         [this, done]
+                         {
+                             done(this->is_away ? unreachable()
+                                                : this->listing());
+                         });
+    }
+
+    void watch(const ports::store_position& after,
+               std::chrono::milliseconds wait,
+               ports::store_handler<ports::store_page> done) override
+    {
+        this->poll(after, this->loop.now() + wait, std::move(done));
+    }
+
+    bool is_away = false;
+    std::size_t listings = 0;
+
+  protected:
+    using page_result = hawthornrelay::core::base::result<ports::store_page>;
+
+    static page_result unreachable()
+    {
+        return fail(result_code::platform_unreachable, "away");
+    }
+
+    virtual page_result listing() = 0;
+    virtual page_result changes(const ports::store_position& after) = 0;
+
+  private:
+    void poll(const ports::store_position& after,
+              time_point until,
+              ports::store_handler<ports::store_page> done)
+    {
+        this->loop.after(answer_delay,
+                         [this, after, until, done = std::move(done)]
+                         {
+                             auto page = this->is_away ? unreachable()
+                                                       : this->changes(after);
+                             const bool must_wait = page &&
+                                                    page->items.empty() &&
+                                                    this->loop.now() < until;
+                             if (must_wait)
+                             {
+                                 this->poll(after, until, done);
+                             }
+                             else
+                             {
+                                 done(std::move(page));
+                             }
+                         });
+    }
+
+    event_loop& loop;
+};
+
+/// The store, which can go back to a copy.
+class simulated_store final : public simulated_reader
+{
+  public:
+    using simulated_reader::simulated_reader;
+
+    void write(const std::string& key, const std::string& value)
+    {
+        this->append({key, value, ++this->state.revision});
+    }
+
+    void remove(const std::string& key)
+    {
+        if (this->state.items.contains(key))
+        {
+            this->append({key, {}, ++this->state.revision, true});
+        }
+    }
+
+    void take_copy()
+    {
+        this->copy = this->state;
+    }
+
+    void restore_copy()
+    {
+        this->state = this->copy;
+        this->history.clear();
+        this->history_begins = this->state.revision;
+        this->era = this->era ? ports::store_era(*this->era + 1) : this->era;
+    }
+
+    [[nodiscard]] std::map<std::string, std::string> values() const
+    {
+        std::map<std::string, std::string> result;
+        for (const auto& [key, item] : this->state.items)
+        {
+            result[key] = item.value;
+        }
+        return result;
+    }
+
+    ports::store_era era{1};
+
+  private:
+    struct contents
+    {
+        std::map<std::string, ports::store_item> items;
+        std::uint64_t revision = 1;
+    };
+
+    void append(ports::store_item item)
+    {
+        if (item.is_removed)
+        {
+            this->state.items.erase(item.key);
+        }
+        else
+        {
+            this->state.items[item.key] = item;
+        }
+        this->history.push_back(std::move(item));
+    }
+
+    page_result listing() override
+    {
+        ports::store_page page;
+        for (const auto& [key, item] : this->state.items)
+        {
+            page.items.push_back(item);
+        }
+        page.revision = this->state.revision;
+        page.era = this->era;
+        return page;
+    }
+
+    page_result changes(const ports::store_position& after) override
+    {
+        if (after.revision < this->history_begins ||
+            after.revision > this->state.revision)
+        {
+            return fail(result_code::history_gone, "status 410");
+        }
+        ports::store_page page;
+        for (const auto& item : this->history)
+        {
+            if (item.revision > after.revision)
+            {
+                page.items.push_back(item);
+            }
+        }
+        page.revision = this->state.revision;
+        page.era = this->era;
+        return page;
+    }
+
+    contents state;
+    contents copy;
+    std::vector<ports::store_item> history;
+    std::uint64_t history_begins = 0;
+};
+
+/// A node's copy, which other nodes read.
+class simulated_node final : public simulated_reader
+{
+  public:
+    simulated_node(event_loop& loop, ports::metadata_reader& source)
+        : simulated_reader(loop), runtime(loop),
+          mirror(this->log, [](const ports::store_item&) {}),
+          follower(this->runtime,
+                   this->log,
+                   this->mirror,
+                   [](bool, const std::string&) {})
+    {
+        this->follower.follow(source);
+    }
+
+    [[nodiscard]] std::map<std::string, std::string> values() const
+    {
+        std::map<std::string, std::string> result;
+        for (const auto& item : this->mirror.listing().items)
+        {
+            result[item.key] = item.value;
+        }
+        return result;
+    }
+
+    process_runtime runtime;
+    recording_log log;
+    store_mirror mirror;
+    store_follower follower;
+
+  private:
+    page_result listing() override
+    {
+        return this->mirror.is_complete() ? page_result(this->mirror.listing())
+                                          : unreachable();
+    }
+
+    page_result changes(const ports::store_position& after) override
+    {
+        if (ports::is_earlier(this->mirror.position().era, after.era))
+        {
+            return unreachable();
+        }
+        const auto page = this->mirror.changes_since(after);
+        return page ? page_result(*page)
+                    : fail(result_code::history_gone, "status 410");
+    }
+};
+
+/// A store, two nodes that read it, and one that follows a node.
+struct copies
+{
+    copies()
+    {
+        this->store.write("config", "1");
+        this->store.write("replica", "a");
+        this->loop.run_for(1s);
+    }
+
+    void check_equal()
+    {
+        const auto expected = this->store.values();
+        for (const auto* node : {&this->first, &this->second, &this->third})
+        {
+            BOOST_TEST((node->values() == expected));
+        }
+    }
+
+    event_loop loop;
+    simulated_store store{loop};
+    simulated_node first{loop, store};
+    simulated_node second{loop, store};
+    simulated_node third{loop, first};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(restores)
+
+// Guards against: changes after a restore are ignored, since their revisions
+// were given out before.
+BOOST_AUTO_TEST_CASE(a_change_with_a_revision_that_was_given_out_before)
+{
+    copies fixture;
+    fixture.store.take_copy();
+    fixture.store.write("config", "2");
+    fixture.store.write("replica", "b");
+    fixture.store.write("replica", "c");
+    fixture.loop.run_for(1s);
+    fixture.store.restore_copy();
+    fixture.store.write("config", "2");
+    fixture.store.write("config", "3");
+    fixture.loop.run_for(1s);
+    fixture.check_equal();
+}
+
+// Guards against: a watch from before a restore succeeds, since the store has
+// passed its revision again, and the changes below are missed.
+BOOST_AUTO_TEST_CASE(a_restored_store_that_is_ahead_of_the_watch)
+{
+    copies fixture;
+    fixture.store.take_copy();
+    fixture.store.write("config", "2");
+    fixture.loop.run_for(1s);
+    fixture.store.is_away = true;
+    fixture.loop.run_for(1s);
+    fixture.store.restore_copy();
+    fixture.store.write("added", "1");
+    fixture.store.remove("replica");
+    fixture.store.write("config", "3");
+    fixture.store.write("config", "4");
+    fixture.store.is_away = false;
+    fixture.loop.run_for(1s);
+    fixture.check_equal();
+}
+
+// Guards against: a node that has not noticed the restore yet brings back the
+// state before it.
+BOOST_AUTO_TEST_CASE(a_source_that_lags_behind_a_restore)
+{
+    copies fixture;
+    fixture.store.take_copy();
+    fixture.store.write("config", "2");
+    fixture.loop.run_for(1s);
+    fixture.store.is_away = true;
+    fixture.loop.run_for(10ms);
+    fixture.second.follower.stop();
+    fixture.store.restore_copy();
+    fixture.store.write("config", "3");
+    fixture.store.is_away = false;
+    fixture.loop.run_for(1s);
+    fixture.third.follower.follow(fixture.second);
+    fixture.loop.run_for(5s);
+    BOOST_TEST(fixture.third.values().at("config") == "3");
+    BOOST_TEST(!fixture.third.follower.is_reachable());
+    fixture.third.follower.follow(fixture.first);
+    fixture.loop.run_for(1s);
+    BOOST_TEST(fixture.third.follower.is_reachable());
+}
+
+// Guards against: a node lists the store without pause while the store refuses
+// its watch.
+BOOST_AUTO_TEST_CASE(a_watch_that_is_refused_after_each_listing)
+{
+    copies fixture;
+    fixture.store.era.reset(); // a store that does not tell
+    fixture.store.take_copy();
+    fixture.store.write("config", "2");
+    fixture.loop.run_for(1s);
+    const auto before = fixture.store.listings;
+    fixture.store.restore_copy();
+    fixture.loop.run_for(10s);
+    BOOST_TEST(fixture.store.listings - before <= 2U * 4U * 10U);
+}
+
+// Any sequence of writes, removals, outages and restores ends in equal copies.
+BOOST_AUTO_TEST_CASE(copies_end_equal_after_random_restores)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed)
+    {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            std::mt19937 random(seed);
+            copies fixture;
+            fixture.store.take_copy();
+            for (int step = 0; step < 40; ++step)
+            {
+                const auto key = "k" + std::to_string(random() % 4);
+                switch (random() % 8)
+                {
+                case 0:
+                    fixture.store.remove(key);
+                    break;
+                case 1:
+                    fixture.store.take_copy();
+                    break;
+                case 2:
+                    fixture.store.restore_copy();
+                    break;
+                case 3:
+                    fixture.store.is_away = !fixture.store.is_away;
+                    break;
+                case 4:
+                    fixture.third.follower.follow(
+                        random() % 2 == 0 ? fixture.first : fixture.second);
+                    break;
+                default:
+                    fixture.store.write(key, std::to_string(random() % 3));
+                }
+                fixture.loop.run_for(std::chrono::milliseconds(
+                    random() % 3 == 0 ? random() % 1000 : 0));
+            }
+            fixture.store.is_away = false;
+            fixture.loop.run_for(8s);
+            fixture.check_equal();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
