Do not use replicas again that left before the store was restored

Found while looking for what else a copy that is some seconds old brings back: the listing after a restore may contain the registration of a replica that has left since the copy was made. It was taken for a new registration and the replica got requests again, although it is about to end or its address is used by another.

Class: old knowledge replaces newer. Sequence numbers and start times guard a replica that is known; nothing remembered one that had been removed. The mirror now marks what contradicts earlier knowledge (is_restored), and a registration that was removed before is applied only after three heartbeat intervals: that of a replica which has left ends by then. A write after the restore is applied at once.

test_store_changes, a_replica_that_left_is_not_used_again, failed before: used from the listing on.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -143,6 +143,7 @@
                          this->engine,
                          this->members.nodes,
                          this->log,
+                         this->settings.heartbeat_interval,
                          [this](const core::relay::caller_limits& limits)
                          {
                              this->on_limits(limits);
@@ -401,6 +402,7 @@
 void node::maintain()
 {
     this->engine.record_running();
+    this->change_handler.apply_due();
     for (const auto& id : this->engine.registry.expire(this->runtime.now()))
     {
         this->log.write(log_event::replica_removed,
--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+/// A replica that does not renew its registration is removed after this many
+/// heartbeat intervals, and a little later by the time that nodes know.
+constexpr int lapse_in_heartbeats = 3;
+constexpr std::chrono::milliseconds lapse_margin{400};
+
 /// Returns the key without the prefix, or nothing if it does not match.
 std::optional<std::string> strip_prefix(const std::string& key,
                                         std::string_view prefix)
@@ -72,17 +77,54 @@
                                         {"millicores", self.millicores}});
 }
 
-store_change_handler::store_change_handler(ports::runtime& runtime,
-                                           core::relay::request_engine& engine,
-                                           core::relay::node_directory& nodes,
-                                           ports::event_log& log,
-                                           limits_handler on_limits)
+store_change_handler::store_change_handler(
+    ports::runtime& runtime,
+    core::relay::request_engine& engine,
+    core::relay::node_directory& nodes,
+    ports::event_log& log,
+    std::chrono::milliseconds heartbeat_interval,
+    limits_handler on_limits)
     : runtime(runtime), engine(engine), nodes(nodes), log(log),
+      restored_item_delay(heartbeat_interval * lapse_in_heartbeats +
+                          lapse_margin),
       on_limits(std::move(on_limits))
 {
 }
 
 void store_change_handler::apply(const ports::store_item& item)
+{
+    this->deferred.erase(item.key);
+    this->dispatch(item);
+}
+
+void store_change_handler::apply_due()
+{
+    const auto now = this->runtime.now();
+    for (auto next = this->deferred.begin(); next != this->deferred.end();)
+    {
+        const auto current = next++;
+        if (current->second.due_at <= now)
+        {
+            auto item = std::move(current->second.item);
+            this->deferred.erase(current);
+            item.is_restored = false;
+            this->dispatch(item);
+        }
+    }
+}
+
+void store_change_handler::defer(const ports::store_item& item)
+{
+    this->deferred[item.key] = {
+        item, this->runtime.now() + this->restored_item_delay};
+    this->log.write(
+        log_event::change_deferred,
+        {{"key", item.key},
+         {"revision", std::to_string(item.revision)},
+         {"delay_ms", std::to_string(this->restored_item_delay.count())}});
+}
+
+void store_change_handler::dispatch(const ports::store_item& item)
 {
     if (item.key == names::configuration_key)
     {
@@ -170,6 +212,12 @@
         }
         return;
     }
+    if (item.is_restored && !this->engine.registry.all().contains(id))
+    {
+        // It may have left; its lease in the copy ends if it has.
+        this->defer(item);
+        return;
+    }
     const auto record = platform::decode_replica(id, item.value);
     if (!record)
     {
--- a/src/adapters/relay/store_change_handler.hpp
+++ b/src/adapters/relay/store_change_handler.hpp
@@ -2,7 +2,9 @@
 /// @brief Applies changes of the store to the state of a node.
 #pragma once
 
+#include <chrono>
 #include <functional>
+#include <map>
 #include <string>
 
 #include <core/relay/node_directory.hpp>
@@ -19,6 +21,10 @@
 
 /// @brief Decodes changed items and passes them to the request engine or the
 ///        node directory. Each change is logged.
+///
+/// After a restore the store may contradict newer knowledge until operators and
+/// replicas have written again. Versions and sequence numbers show what is
+/// older; other items that would let requests reach a replica are deferred.
 class store_change_handler
 {
   public:
@@ -26,16 +32,32 @@
     using limits_handler =
         std::function<void(const core::relay::caller_limits&)>;
 
+    /// @brief Creates a handler; the references must outlive it.
+    /// @param heartbeat_interval of replicas
+    /// @param on_limits called for each new configuration
     store_change_handler(ports::runtime& runtime,
                          core::relay::request_engine& engine,
                          core::relay::node_directory& nodes,
                          ports::event_log& log,
+                         std::chrono::milliseconds heartbeat_interval,
                          limits_handler on_limits);
 
     /// @brief Applies one changed or removed item; unknown keys are ignored.
     void apply(const ports::store_item& item);
 
+    /// @brief Applies the items that were deferred and are due; to be called
+    ///        regularly.
+    void apply_due();
+
   private:
+    struct deferred_item
+    {
+        ports::store_item item;
+        core::base::time_point due_at{};
+    };
+
+    void dispatch(const ports::store_item& item);
+    void defer(const ports::store_item& item);
     void on_configuration(const ports::store_item& item);
     void on_replica(const std::string& id, const ports::store_item& item);
     void on_node(const std::string& name, const ports::store_item& item);
@@ -45,7 +67,9 @@
     core::relay::request_engine& engine;
     core::relay::node_directory& nodes;
     ports::event_log& log;
+    std::chrono::milliseconds restored_item_delay;
     limits_handler on_limits;
+    std::map<std::string, deferred_item> deferred;
 };
 
 } // namespace hawthornrelay::adapters::relay
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -73,6 +73,7 @@
     event_row{log_event::configuration_unreadable,
               "configuration_unreadable",
               log_level::warning},
+    event_row{log_event::change_deferred, "change_deferred", log_level::info},
     event_row{log_event::replica_listed, "replica_listed", log_level::info},
     event_row{log_event::replica_removed, "replica_removed", log_level::info},
     event_row{log_event::replica_lapsing, "replica_lapsing", log_level::info},
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -64,6 +64,7 @@
     settings_reloaded = 1004,
     configuration_in_force = 1011,
     configuration_unreadable = 1012,
+    change_deferred = 1013,
     replica_listed = 1021,
     replica_removed = 1022,
     replica_lapsing = 1023,
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -50,6 +50,8 @@
     double cold_overshoot = 1.5;
     double cold_slack = 5;
     std::chrono::milliseconds min_lease{1000};
+    /// A replica's registration ends after three of these without a renewal.
+    std::chrono::milliseconds heartbeat_interval{1200};
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/store_mirror.cpp
+++ b/src/core/relay/store_mirror.cpp
@@ -64,7 +64,11 @@
     {
         this->apply(item);
     }
-    this->remove_unlisted(listing, may_have_lapsed);
+    for (auto removal : this->find_unlisted(listing))
+    {
+        removal.may_have_lapsed = may_have_lapsed;
+        this->replace(removal);
+    }
     if (listing.revision > this->known.revision || !this->has_listing)
     {
         // The listing does not contain intermediate changes.
@@ -79,37 +83,45 @@
 
 void store_mirror::apply_restored(const ports::store_page& listing)
 {
-    std::erase_if(this->items,
-                  [](const auto& entry)
-                  {
-                      return entry.second.is_removed;
-                  });
     for (auto& [key, item] : this->items)
     {
         item.revision = 0;
     }
-    this->known = {listing.revision, listing.era};
     for (const auto& item : listing.items)
     {
-        auto& current = this->items[item.key];
-        const bool is_same =
-            current.key == item.key && current.value == item.value;
+        const auto found = this->items.find(item.key);
+        const bool was_known = found != this->items.end();
+        const bool is_same = was_known && !found->second.is_removed &&
+                             found->second.value == item.value;
         if (is_same)
         {
-            current.revision = item.revision;
+            found->second.revision = item.revision;
         }
         else
         {
-            this->replace(item);
+            auto changed = item;
+            changed.is_restored = was_known;
+            this->replace(changed);
         }
     }
-    this->remove_unlisted(listing, true);
+    std::erase_if(this->items,
+                  [](const auto& entry)
+                  {
+                      return entry.second.is_removed;
+                  });
+    this->known = {listing.revision, listing.era};
+    for (auto removal : this->find_unlisted(listing))
+    {
+        removal.may_have_lapsed = true;
+        removal.is_restored = true;
+        this->replace(removal);
+    }
     this->history.clear();
     this->history_begins = listing.revision;
 }
 
-void store_mirror::remove_unlisted(const ports::store_page& listing,
-                                   bool may_have_lapsed)
+std::vector<ports::store_item>
+store_mirror::find_unlisted(const ports::store_page& listing) const
 {
     std::set<std::string_view> listed_keys;
     for (const auto& item : listing.items)
@@ -124,14 +136,10 @@
                              !listed_keys.contains(key);
         if (is_gone)
         {
-            removals.push_back(
-                {key, {}, listing.revision, true, may_have_lapsed});
+            removals.push_back({key, {}, listing.revision, true});
         }
     }
-    for (const auto& removal : removals)
-    {
-        this->apply(removal);
-    }
+    return removals;
 }
 
 bool store_mirror::apply(const ports::store_item& item)
--- a/src/core/relay/store_mirror.hpp
+++ b/src/core/relay/store_mirror.hpp
@@ -66,9 +66,9 @@
     /// @return false if the known item is as new
     bool apply(const ports::store_item& item);
     void replace(const ports::store_item& item);
-    /// Removes the keys that a listing lacks, unless they are newer.
-    void remove_unlisted(const ports::store_page& listing,
-                         bool may_have_lapsed);
+    /// @return removals of the keys that a listing lacks and that are not newer
+    [[nodiscard]] std::vector<ports::store_item>
+    find_unlisted(const ports::store_page& listing) const;
     void apply_restored(const ports::store_page& listing);
 
     ports::event_log& log;
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -27,6 +27,9 @@
     /// For removals: the store was unreachable shortly before, so the key's
     /// lease may have lapsed only for that reason and the key may come back.
     bool may_have_lapsed = false;
+    /// The listing of a store that was restored from a copy contradicts what
+    /// was known of the key before, which may be newer.
+    bool is_restored = false;
 };
 
 /// @brief Rises by one whenever the store is restored from a copy, after which
--- /dev/null
+++ b/tests/relay/test_store_changes.cpp
@@ -0,0 +1,177 @@
+// Tests of what a node believes after changes of the store, above all after the
+// store was restored from a copy that is older than what the node knows.
+#define BOOST_TEST_MODULE store_changes
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+#include <fmt/format.h>
+
+#include <adapters/relay/store_change_handler.hpp>
+#include <core/relay/store_mirror.hpp>
+#include <support/relay_simulation.hpp>
+
+using namespace std::chrono_literals;
+using namespace hawthornrelay::tests::support;
+namespace ports = hawthornrelay::ports;
+using hawthornrelay::adapters::relay::store_change_handler;
+
+namespace
+{
+
+/// Interval at which a node calls apply_due().
+constexpr std::chrono::milliseconds maintenance_interval{250};
+
+std::string replica_value(int sequence, const std::string& state = "ready")
+{
+    return fmt::format(
+        R"({{"service":"added","address":"10.0.0.9:80","zone":"here",)"
+        R"("version":"v1","capacity":2,"state":"{}","warmupRemainingMs":0,)"
+        R"("sequence":{},"born":7}})",
+        state,
+        sequence);
+}
+
+/// A node's mirror and what is derived from it.
+class changed_node
+{
+  public:
+    /// Applies the listing of an era.
+    void list(std::uint64_t era, std::vector<ports::store_item> items)
+    {
+        this->mirror.apply_listing(
+            {std::move(items), false, ++this->revision, era}, false);
+        this->era = era;
+    }
+
+    void write(const std::string& key, const std::string& value)
+    {
+        this->apply({key, value, ++this->revision});
+    }
+
+    void remove(const std::string& key)
+    {
+        this->apply({key, {}, ++this->revision, true});
+    }
+
+    void run_for(duration length)
+    {
+        for (auto left = length; left > duration(0);
+             left -= maintenance_interval)
+        {
+            this->simulation.loop.run_for(maintenance_interval);
+            this->handler.apply_due();
+        }
+    }
+
+    /// Number of replicas of a service that may get requests.
+    std::size_t usable(const std::string& service)
+    {
+        return this->simulation.engine.registry
+            .usable(service, this->simulation.loop.now())
+            .size();
+    }
+
+    relay_simulation simulation{[](const relay::replica&, const std::string&)
+                                {
+                                    return scripted_reply{};
+                                }};
+    std::vector<std::uint64_t> lost_refusals;
+
+  private:
+    void apply(const ports::store_item& item)
+    {
+        this->mirror.apply_changes({{item}, false, item.revision, this->era});
+    }
+
+    process_runtime runtime{simulation.loop};
+    relay::node_directory nodes{{}};
+    store_change_handler handler{runtime,
+                                 simulation.engine,
+                                 nodes,
+                                 simulation.log,
+                                 1200ms,
+                                 [](const relay::caller_limits&) {}};
+    relay::store_mirror mirror{simulation.log,
+                               [this](const ports::store_item& item)
+                               {
+                                   this->handler.apply(item);
+                               }};
+    std::uint64_t revision = 10;
+    std::uint64_t era = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(restored_store)
+
+// Guards against: a replica that left is used again, since the copy from which
+// the store was restored still has its registration.
+BOOST_AUTO_TEST_CASE(a_replica_that_left_is_not_used_again)
+{
+    changed_node node;
+    node.list(1, {{"servers/r", replica_value(3), 5}});
+    node.remove("servers/r");
+    node.list(2, {{"servers/r", replica_value(3), 5}});
+    for (int i = 0; i < 12; ++i)
+    {
+        node.run_for(250ms);
+        BOOST_TEST(node.usable("added") == 0U);
+    }
+    node.remove("servers/r"); // its lease in the copy has ended
+    node.run_for(10s);
+    BOOST_TEST(node.usable("added") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_left_and_came_back_is_used)
+{
+    changed_node node;
+    node.list(1, {{"servers/r", replica_value(3), 5}});
+    node.remove("servers/r");
+    node.list(2, {{"servers/r", replica_value(3), 5}});
+    node.write("servers/r", replica_value(4));
+    BOOST_TEST(node.usable("added") == 1U);
+}
+
+// A registration that is still there after its lease would have ended is that
+// of a replica which renews it.
+BOOST_AUTO_TEST_CASE(a_replica_that_keeps_its_registration_is_used_later)
+{
+    changed_node node;
+    node.list(1, {{"servers/r", replica_value(3), 5}});
+    node.remove("servers/r");
+    node.list(2, {{"servers/r", replica_value(3), 5}});
+    node.run_for(6s);
+    BOOST_TEST(node.usable("added") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_replica_is_not_used_again)
+{
+    changed_node node;
+    node.list(1, {{"servers/r", replica_value(4, "draining"), 5}});
+    node.list(2, {{"servers/r", replica_value(3), 4}});
+    node.run_for(10s);
+    BOOST_TEST(node.usable("added") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_the_copy_lacks_is_kept_while_it_may_return)
+{
+    changed_node node;
+    node.list(1, {{"servers/r", replica_value(3), 5}});
+    node.list(2, {});
+    node.run_for(1500ms);
+    BOOST_TEST(node.usable("added") == 1U);
+    node.write("servers/r", replica_value(3));
+    node.run_for(5s);
+    BOOST_TEST(node.usable("added") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_replica_is_used_at_once)
+{
+    changed_node node;
+    node.list(1, {});
+    node.list(2, {{"servers/r", replica_value(1), 5}});
+    BOOST_TEST(node.usable("added") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
