Keep a zone out while operators may write its evacuation again after a restore

The removal is applied after the same delay now, unless the key changes before. A zone that is out in the copy is out at once: when in doubt nothing is sent there.

test_store_changes, a_zone_stays_out_until_operators_have_written_again, failed before, in 12 checks of 12 over three seconds.

--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -132,10 +132,7 @@
     }
     else if (const auto zone = strip_prefix(item.key, names::zone_out_prefix))
     {
-        this->engine.registry.set_zone_out(*zone, !item.is_removed);
-        this->log.write(
-            item.is_removed ? log_event::zone_back : log_event::zone_out,
-            {{"zone", *zone}, {"revision", std::to_string(item.revision)}});
+        this->on_zone(*zone, item);
     }
     else if (const auto id = strip_prefix(item.key, names::replica_prefix))
     {
@@ -151,6 +148,21 @@
     }
 }
 
+void store_change_handler::on_zone(const std::string& zone,
+                                   const ports::store_item& item)
+{
+    if (item.is_restored && item.is_removed)
+    {
+        // Operators may have taken it out since the copy was made.
+        this->defer(item);
+        return;
+    }
+    this->engine.registry.set_zone_out(zone, !item.is_removed);
+    this->log.write(
+        item.is_removed ? log_event::zone_back : log_event::zone_out,
+        {{"zone", zone}, {"revision", std::to_string(item.revision)}});
+}
+
 void store_change_handler::on_quarantine(const std::string& text,
                                          const ports::store_item& item)
 {
--- a/src/adapters/relay/store_change_handler.hpp
+++ b/src/adapters/relay/store_change_handler.hpp
@@ -59,6 +59,7 @@
     void dispatch(const ports::store_item& item);
     void defer(const ports::store_item& item);
     void on_configuration(const ports::store_item& item);
+    void on_zone(const std::string& zone, const ports::store_item& item);
     void on_replica(const std::string& id, const ports::store_item& item);
     void on_node(const std::string& name, const ports::store_item& item);
     void on_quarantine(const std::string& text, const ports::store_item& item);
--- a/tests/relay/test_store_changes.cpp
+++ b/tests/relay/test_store_changes.cpp
@@ -166,6 +166,47 @@
     BOOST_TEST(node.usable("added") == 1U);
 }
 
+// Guards against: a zone gets requests again although operators have taken it
+// out, since the copy from which the store was restored is older than that.
+BOOST_AUTO_TEST_CASE(a_zone_stays_out_until_operators_have_written_again)
+{
+    changed_node node;
+    node.list(1, {});
+    BOOST_TEST(node.usable("book") == 2U);
+    node.write("op/evacuate/there", "{}");
+    BOOST_TEST(node.usable("book") == 1U);
+    node.list(2, {});
+    for (int i = 0; i < 12; ++i)
+    {
+        node.run_for(250ms);
+        BOOST_TEST(node.usable("book") == 1U);
+    }
+    node.write("op/evacuate/there", "{}");
+    node.run_for(10s);
+    BOOST_TEST(node.usable("book") == 1U);
+    node.remove("op/evacuate/there");
+    BOOST_TEST(node.usable("book") == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_that_operators_do_not_take_out_again_is_used_later)
+{
+    changed_node node;
+    node.list(1, {{"op/evacuate/there", "{}", 5}});
+    node.list(2, {});
+    node.run_for(6s);
+    BOOST_TEST(node.usable("book") == 2U);
+}
+
+// When in doubt nothing is sent to a zone.
+BOOST_AUTO_TEST_CASE(a_zone_that_is_out_in_the_copy_is_out_at_once)
+{
+    changed_node node;
+    node.list(1, {{"op/evacuate/there", "{}", 5}});
+    node.remove("op/evacuate/there");
+    node.list(2, {{"op/evacuate/there", "{}", 5}});
+    BOOST_TEST(node.usable("book") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_replica_is_used_at_once)
 {
     changed_node node;
