Keep refusals that a restore of the store has lost, and store them again

What the system itself wrote since the copy is gone after a restore. The nodes' registrations come back, since their leases are gone too and renewals show it (now covered by a test), but the removal of a stored refusal ended it on all nodes, and nodes that start later would have sent the request that crashes replicas again.

A refusal that the listing of a restored store lacks stays in force until its own two minutes are over; the nodes that read the store write it again.

--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -77,6 +77,12 @@
     /// @brief The known nodes, this one included.
     core::relay::node_directory nodes;
 
+    /// @brief True if the mirror's source is the store itself.
+    [[nodiscard]] bool reads_store() const
+    {
+        return this->source.reads_store();
+    }
+
     /// @brief Name of the mirror's source, for the log.
     [[nodiscard]] std::string source_name() const
     {
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -162,6 +162,15 @@
         {
             this->quarantine.write(refused);
         };
+        this->change_handler.on_refusal_lost =
+            [this](core::base::fingerprint refused)
+        {
+            // The other nodes follow those that read the store.
+            if (this->members.reads_store())
+            {
+                this->quarantine.write(refused);
+            }
+        };
         this->engine.rank_among_entries = [this](const std::string& replica)
         {
             return this->members.nodes.rank_among_entries(replica,
--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -173,6 +173,14 @@
                         {{"key", item.key}, {"error", refused.error().detail}});
         return;
     }
+    if (item.is_restored && item.is_removed)
+    {
+        if (this->engine.is_quarantined(*refused) && this->on_refusal_lost)
+        {
+            this->on_refusal_lost(*refused);
+        }
+        return;
+    }
     this->engine.set_quarantined(*refused, !item.is_removed);
     this->log.write(item.is_removed ? log_event::quarantine_ended
                                     : log_event::quarantine_known,
--- a/src/adapters/relay/store_change_handler.hpp
+++ b/src/adapters/relay/store_change_handler.hpp
@@ -49,6 +49,9 @@
     ///        regularly.
     void apply_due();
 
+    /// @brief Called for a refusal that is in force but was lost by the store.
+    std::function<void(core::base::fingerprint)> on_refusal_lost;
+
   private:
     struct deferred_item
     {
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -382,6 +382,11 @@
     }
 }
 
+bool request_engine::is_quarantined(base::fingerprint refused) const
+{
+    return this->crashes.must_refuse(refused, this->runtime.now());
+}
+
 void request_engine::merge_crashes(const std::vector<crash_report>& reports)
 {
     this->crashes.merge(reports, this->runtime.now());
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -152,6 +152,9 @@
     /// @param is_refused false if the refusal has ended
     void set_quarantined(base::fingerprint refused, bool is_refused);
 
+    /// @brief Tells whether a request or part is refused.
+    [[nodiscard]] bool is_quarantined(base::fingerprint refused) const;
+
     /// @brief Number of requests without an answer.
     [[nodiscard]] std::size_t active() const
     {
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -921,6 +921,26 @@
     check_served_by_all(cluster, "/two/x");
 }
 
+// Guards against: what the nodes have stored themselves is missing after a
+// restore, so that nodes which start do not find it.
+BOOST_AUTO_TEST_CASE(nodes_store_again_what_a_restore_has_lost)
+{
+    relay_cluster cluster(0);
+    cluster.store.take_copy();
+    for (const auto* name : {"node-0", "node-1", "node-2"})
+    {
+        cluster.add_node(name);
+    }
+    cluster.store.write("quarantine/0000000000000abc", "{}");
+    cluster.io.run_for(1500ms);
+    BOOST_TEST(cluster.store.keys_with("nodes/").size() == 3U);
+    cluster.store.restore_copy();
+    BOOST_TEST(cluster.store.keys_with("nodes/").empty());
+    cluster.io.run_for(2000ms);
+    BOOST_TEST(cluster.store.keys_with("nodes/").size() == 3U);
+    BOOST_TEST(cluster.store.has("quarantine/0000000000000abc"));
+}
+
 BOOST_AUTO_TEST_CASE(a_node_registers_again_after_a_lost_answer_or_lapsed_lease)
 {
     relay_cluster cluster(0);
--- a/tests/relay/test_store_changes.cpp
+++ b/tests/relay/test_store_changes.cpp
@@ -36,6 +36,14 @@
 class changed_node
 {
   public:
+    changed_node()
+    {
+        this->handler.on_refusal_lost = [this](std::uint64_t refused)
+        {
+            this->lost_refusals.push_back(refused);
+        };
+    }
+
     /// Applies the listing of an era.
     void list(std::uint64_t era, std::vector<ports::store_item> items)
     {
@@ -207,6 +215,34 @@
     BOOST_TEST(node.usable("book") == 1U);
 }
 
+// Guards against: the refusal of a request that crashes replicas ends, and is
+// not stored for nodes that start, since the store was restored.
+BOOST_AUTO_TEST_CASE(a_refusal_that_the_copy_lacks_is_kept_and_stored_again)
+{
+    changed_node node;
+    const std::string key = "quarantine/0000000000000abc";
+    node.list(1, {});
+    node.write(key, "{}");
+    node.list(2, {});
+    BOOST_TEST(node.simulation.engine.is_quarantined(0xabc));
+    BOOST_TEST(node.lost_refusals == std::vector<std::uint64_t>{0xabc},
+               boost::test_tools::per_element());
+    node.write(key, "{}");
+    node.remove(key);
+    BOOST_TEST(!node.simulation.engine.is_quarantined(0xabc));
+    BOOST_TEST(node.lost_refusals.size() == 1U);
+}
+
+// A refusal that has ended here is not stored again.
+BOOST_AUTO_TEST_CASE(a_refusal_that_has_ended_is_not_stored_again)
+{
+    changed_node node;
+    node.list(1, {{"quarantine/0000000000000abc", "{}", 5}});
+    node.run_for(121s);
+    node.list(2, {});
+    BOOST_TEST(node.lost_refusals.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_new_replica_is_used_at_once)
 {
     changed_node node;
