--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -921,6 +921,41 @@
     check_served_by_all(cluster, "/two/x");
 }
 
+// Guards against: odd registrations of another writer end the nodes, or stop
+// them from following the store.
+BOOST_AUTO_TEST_CASE(odd_registrations_do_not_stop_the_nodes)
+{
+    relay_cluster cluster(3);
+    constexpr std::size_t megabyte = 1U << 20U;
+    const std::vector<std::string> odd{
+        "",
+        std::string("\0\xff{", 3),
+        std::string(megabyte, '['),
+        std::string(megabyte / 4 * 3, '\xff'),
+        R"({"service":"s","address":"10.0.0.9:70000","zone":"z"})",
+        R"({"service":"s","address":"999.0.0.9:80","zone":"z",)"
+        R"("version":"v1","capacity":2,"state":"ready",)"
+        R"("warmupRemainingMs":1e300,"sequence":1e30,"born":-1})"};
+    for (int round = 0; round < 2; ++round)
+    {
+        for (std::size_t i = 0; i < odd.size(); ++i)
+        {
+            cluster.store.write("servers/odd-" + std::to_string(i), odd[i]);
+        }
+        cluster.io.run_for(300ms);
+    }
+    cluster.store.write("servers/" + std::string(150, '/') + "\n\t\"", "{}");
+    auto changed = relay_cluster::configuration(2);
+    changed.replace(changed.find("/one/"), 5, "/two/");
+    cluster.store.write("op/config", changed);
+    cluster.io.run_for(1500ms);
+    check_served_by_all(cluster, "/two/x");
+    // A node that starts must list all of it.
+    cluster.add_node("node-3");
+    cluster.io.run_for(1500ms);
+    check_served_by_all(cluster, "/two/x");
+}
+
 // Guards against: what the nodes have stored themselves is missing after a
 // restore, so that nodes which start do not find it.
 BOOST_AUTO_TEST_CASE(nodes_store_again_what_a_restore_has_lost)
--- /dev/null
+++ b/tests/unit/test_platform_decode.cpp
@@ -0,0 +1,122 @@
+// Tests that values which another system wrote are decoded or refused, whatever
+// they contain.
+#define BOOST_TEST_MODULE platform_decode
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include <platform/decode.hpp>
+
+using namespace hawthornrelay;
+
+namespace
+{
+
+std::string registration(const std::string& name, const std::string& value)
+{
+    const std::vector<std::pair<std::string, std::string>> usual{
+        {"service", R"("s")"},
+        {"address", R"("10.0.0.9:80")"},
+        {"zone", R"("z")"},
+        {"version", R"("v1")"},
+        {"capacity", "2"},
+        {"state", R"("ready")"},
+        {"warmupRemainingMs", "0"},
+        {"sequence", "4"},
+        {"born", "7"}};
+    std::string text = "{";
+    for (const auto& [field, usual_value] : usual)
+    {
+        text += text.size() > 1 ? "," : "";
+        text += '"' + field + "\":" + (field == name ? value : usual_value);
+    }
+    return text + "}";
+}
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(registrations)
+
+BOOST_AUTO_TEST_CASE(a_usual_registration_is_read)
+{
+    const auto record = platform::decode_replica("r", registration("", ""));
+    BOOST_TEST_REQUIRE(record.has_value());
+    BOOST_TEST(record->address == "10.0.0.9:80");
+    BOOST_TEST(record->sequence == 4U);
+}
+
+// Guards against: an odd registration by another writer names a replica, or
+// ends the process that reads it.
+BOOST_AUTO_TEST_CASE(odd_registrations_are_refused)
+{
+    const std::vector<std::pair<std::string, std::string>> odd{
+        {"address", R"("10.0.0.9:70000")"},
+        {"address", R"("10.0.0.9:0")"},
+        {"address", R"("10.0.0.9:-1")"},
+        {"address", R"("10.0.0.9:99999999999999999999")"},
+        {"address", R"("10.0.0.9:80x")"},
+        {"address", R"("10.0.0.9")"},
+        {"address", R"("999.0.0.9:80")"},
+        {"address", R"("10.0.9:80")"},
+        {"address", R"("....:80")"},
+        {"address", "80"},
+        {"service", "null"},
+        {"state", R"("resting")"},
+        {"capacity", "0"},
+        {"capacity", "-2"},
+        {"capacity", "2.5"},
+        {"capacity", "4294967296"},
+        {"capacity", "18446744073709551615"},
+        {"capacity", "99999999999999999999"},
+        {"capacity", "1e400"},
+        {"warmupRemainingMs", "1e300"},
+        {"warmupRemainingMs", "9.3e18"},
+        {"warmupRemainingMs", "1e400"},
+        {"warmupRemainingMs", "-1"},
+        {"sequence", "18446744073709551616"},
+        {"sequence", "1e20"},
+        {"sequence", "-1"},
+        {"sequence", R"("4")"},
+        {"born", "1e30"},
+        {"born", "true"},
+        {"zone", nested(100'000)},
+        {"zone", R"("\ud800")"},
+        {"zone", "\"\xff\""}};
+    for (const auto& [name, value] : odd)
+    {
+        BOOST_TEST(!platform::decode_replica("r", registration(name, value)),
+                   name << " " << value.substr(0, 40));
+    }
+    for (const std::string text :
+         {"", "null", "[]", "4", "{", "\"", "\xff\xfe"})
+    {
+        BOOST_TEST(!platform::decode_replica("r", text));
+    }
+    BOOST_TEST(!platform::decode_replica("r", nested(1'000'000)));
+    BOOST_TEST(!platform::decode_replica("", registration("", "")));
+}
+
+BOOST_AUTO_TEST_CASE(random_bytes_do_no_harm)
+{
+    rc::check(
+        [](std::string text)
+        {
+            (void)platform::decode_replica("r", text);
+        });
+    rc::check(
+        [](std::size_t at, char byte)
+        {
+            auto text = registration("", "");
+            text[at % text.size()] = byte;
+            (void)platform::decode_replica("r", text);
+        });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
