--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include <platform/decode.hpp>
+#include <platform/replica_wire.hpp>
 
 using namespace hawthornrelay;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -40,6 +42,15 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
+ports::send_outcome answer_with(const std::string& field,
+                                const std::string& value)
+{
+    platform::wire_answer answer;
+    answer.result(200);
+    answer.set(field, value);
+    return platform::read_replica_answer(std::move(answer));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(registrations)
@@ -120,3 +131,44 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(answers)
+
+// Guards against: numbers in a replica's answer that no time or rate can hold.
+BOOST_AUTO_TEST_CASE(odd_numbers_are_ignored_or_bounded)
+{
+    for (const std::string number : {"nan",
+                                     "inf",
+                                     "-inf",
+                                     "1e300",
+                                     "1e-300",
+                                     "9.3e18",
+                                     "1e400",
+                                     "-1",
+                                     "x",
+                                     ""})
+    {
+        BOOST_TEST_CONTEXT(number)
+        {
+            const auto warm_up =
+                answer_with("X-Warmup-Ms", number).warm_up_left;
+            BOOST_TEST((!warm_up || (*warm_up > 0s && *warm_up <= 24h)));
+            const auto limit = answer_with("Server-Limit", number).rate_limit;
+            BOOST_TEST((!limit || (*limit >= 0 && *limit < 1e9)));
+            for (const auto& load :
+                 {number + ",0,2", "0," + number + ",2", "0,0," + number})
+            {
+                const auto utilization =
+                    answer_with("X-Replica-Load", load).utilization;
+                BOOST_TEST(
+                    (!utilization || (*utilization >= 0 && *utilization < 1e9)),
+                    load);
+            }
+        }
+    }
+    BOOST_TEST((answer_with("X-Warmup-Ms", "1500").warm_up_left == 1500ms));
+    BOOST_TEST(*answer_with("X-Replica-Load", "3,1,8").utilization == 0.5);
+    BOOST_TEST(*answer_with("Server-Limit", "2.5").rate_limit == 2.5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
