Bound the history of the store's mirror in bytes

Found with the report of odd registrations: the mirror kept the last 2,000 changes for other nodes, of whatever size. A value of a megabyte that is written again and again, by another writer or as a large configuration, would take up to two gigabytes, and the process would end at its memory limit, again and again.

The history holds at most 4 MiB of values; a node that is further behind lists. Failed before: test_relay_parts, the_history_is_bounded_in_bytes (200 MiB kept).

--- a/src/core/relay/store_mirror.cpp
+++ b/src/core/relay/store_mirror.cpp
@@ -11,8 +11,10 @@
 namespace
 {
 
-/// Number of changes kept for other nodes; nodes further behind need a listing.
+/// Limits on the changes kept for other nodes; nodes further behind need a
+/// listing.
 constexpr std::size_t max_history = 2000;
+constexpr std::size_t max_history_bytes = std::size_t{4} << 20U;
 
 } // namespace
 
@@ -72,8 +74,7 @@
     if (listing.revision > this->known.revision || !this->has_listing)
     {
         // The listing does not contain intermediate changes.
-        this->history.clear();
-        this->history_begins = listing.revision;
+        this->clear_history(listing.revision);
         this->known.revision = std::max(this->known.revision, listing.revision);
     }
     this->known.era = listing.era ? listing.era : this->known.era;
@@ -116,8 +117,14 @@
         removal.is_restored = true;
         this->replace(removal);
     }
+    this->clear_history(listing.revision);
+}
+
+void store_mirror::clear_history(std::uint64_t revision)
+{
     this->history.clear();
-    this->history_begins = listing.revision;
+    this->history_bytes = 0;
+    this->history_begins = revision;
 }
 
 std::vector<ports::store_item>
@@ -159,9 +166,13 @@
 {
     this->items[item.key] = item;
     this->history.push_back(item);
-    while (this->history.size() > max_history)
+    this->history_bytes += item.value.size();
+    while (this->history.size() > max_history ||
+           this->history_bytes > max_history_bytes)
     {
-        this->history_begins = this->history.front().revision;
+        const auto& oldest = this->history.front();
+        this->history_begins = oldest.revision;
+        this->history_bytes -= oldest.value.size();
         this->history.pop_front();
     }
     this->on_change(item);
--- a/src/core/relay/store_mirror.hpp
+++ b/src/core/relay/store_mirror.hpp
@@ -69,12 +69,14 @@
     /// @return removals of the keys that a listing lacks and that are not newer
     [[nodiscard]] std::vector<ports::store_item>
     find_unlisted(const ports::store_page& listing) const;
+    void clear_history(std::uint64_t revision);
     void apply_restored(const ports::store_page& listing);
 
     ports::event_log& log;
     std::function<void(const ports::store_item&)> on_change;
     std::map<std::string, ports::store_item> items; ///< removals included
     std::deque<ports::store_item> history;
+    std::size_t history_bytes = 0;    ///< of the values
     std::uint64_t history_begins = 0; ///< history has all later changes
     ports::store_position known;
     bool has_listing = false;
--- a/tests/relay/test_relay_parts.cpp
+++ b/tests/relay/test_relay_parts.cpp
@@ -298,6 +298,24 @@
 
 BOOST_AUTO_TEST_SUITE(mirror)
 
+// Guards against: large values that are written again and again fill the memory
+// of the process.
+BOOST_AUTO_TEST_CASE(the_history_is_bounded_in_bytes)
+{
+    recording_log log;
+    store_mirror copy(log, [](const ports::store_item&) {});
+    copy.apply_listing({{}, false, 1}, false);
+    constexpr std::uint64_t writes = 200;
+    for (std::uint64_t i = 2; i < writes; ++i)
+    {
+        copy.apply_changes({{{"k", std::string(1U << 20U, 'x'), i}}, false, i});
+    }
+    BOOST_TEST(!copy.changes_since({1}));
+    BOOST_TEST(!copy.changes_since({writes - 10}));
+    BOOST_TEST(copy.changes_since({writes - 2}).has_value());
+    BOOST_TEST(copy.listing().items.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(values_only_move_forward)
 {
     std::vector<std::string> applied;
