Soak: restore the store from a copy once in each run

At a random moment the store goes back to a copy that is 0.5 to 9.5 s old; operators and replicas write again within a second.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -46,7 +46,8 @@
 {
   public:
     soak(std::uint64_t seed, std::chrono::seconds fault_time)
-        : random(seed), fault_time(fault_time), store(this->io),
+        : random(seed), restore_random(seed), fault_time(fault_time),
+          store(this->io),
           folder("/tmp/hawthornrelay-soak-" + std::to_string(::getpid())),
           // Derived from the process id, so that soaks running at the same time
           // use different addresses.
@@ -99,6 +100,7 @@
                          {
                              this->query_directory();
                          });
+        this->schedule_restore();
         const auto end = steady_clock::now() + this->fault_time;
         while (steady_clock::now() < end)
         {
@@ -183,6 +185,12 @@
     void write_configuration()
     {
         ++this->version;
+        this->store_configuration();
+        this->written_at.push_back(steady_clock::now());
+    }
+
+    void store_configuration()
+    {
         json::array shards;
         json::array services;
         for (const auto& shard : this->context.shards)
@@ -217,7 +225,6 @@
                               {"maxBodyBytes", 65536},
                               {"headerTimeoutMs", 1000},
                               {"idleTimeoutMs", 8000}}}}));
-        this->written_at.push_back(steady_clock::now());
     }
 
     static std::string probe_path(std::uint64_t version)
@@ -424,6 +431,60 @@
         this->store_disturbed_until = steady_clock::now();
     }
 
+    /// Restores the store from a copy that is some seconds old; operators and
+    /// replicas write again what it lacks.
+    void schedule_restore()
+    {
+        const auto random_time = [this](unsigned most)
+        {
+            return std::chrono::milliseconds(this->restore_random() % most);
+        };
+        const auto copied_at = 500ms + random_time(4000);
+        const auto age = 500ms + random_time(9000);
+        const auto delay = random_time(1000);
+        this->call_after(copied_at,
+                         [this]
+                         {
+                             this->store.take_copy();
+                         });
+        this->call_after(copied_at + age,
+                         [this, delay]
+                         {
+                             this->log_event("store restored from a copy");
+                             this->store.restore_copy();
+                             this->store_disturbed_until =
+                                 std::max(this->store_disturbed_until,
+                                          steady_clock::now() + delay);
+                             this->call_after(delay,
+                                              [this]
+                                              {
+                                                  this->write_again();
+                                              });
+                         });
+    }
+
+    void write_again()
+    {
+        this->log_event("operators and replicas write again");
+        this->store_configuration();
+        for (const auto& key : this->store.keys_with("op/evacuate/"))
+        {
+            this->store.remove(key);
+        }
+        for (const auto& [zone, since] : this->zones_out)
+        {
+            this->store.write("op/evacuate/" + zone, "{}");
+        }
+        for (const auto& target : this->back_ends)
+        {
+            if (!target->is_up)
+            {
+                this->store.remove("servers/" + target->instance());
+            }
+            target->send_heartbeat();
+        }
+    }
+
     void inject_store_link_fault(std::size_t index)
     {
         auto& link = *this->store_links[index];
@@ -1024,6 +1085,8 @@
 
     boost::asio::io_context io;
     std::mt19937_64 random;
+    /// Of its own, so that restores do not change the other faults of a seed.
+    std::mt19937_64 restore_random;
     std::chrono::seconds fault_time;
     observations observed;
     tests::support::platform_store store;
