--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -873,7 +873,7 @@
 {
     relay_cluster cluster(4);
     const auto write_configuration =
-        [&cluster](std::uint64_t version, std::string prefix)
+        [&cluster](std::uint64_t version, const std::string& prefix)
     {
         auto changed = relay_cluster::configuration(version);
         changed.replace(changed.find("/one/"), 5, prefix);
@@ -933,9 +933,9 @@
         std::string(megabyte, '['),
         std::string(megabyte / 4 * 3, '\xff'),
         R"({"service":"s","address":"10.0.0.9:70000","zone":"z"})",
-        R"({"service":"s","address":"999.0.0.9:80","zone":"z",)"
-        R"("version":"v1","capacity":2,"state":"ready",)"
-        R"("warmupRemainingMs":1e300,"sequence":1e30,"born":-1})"};
+        R"({"service":"s","address":"999.0.0.9:80","zone":"z",
+            "version":"v1","capacity":2,"state":"ready",
+            "warmupRemainingMs":1e300,"sequence":1e30,"born":-1})"};
     for (int round = 0; round < 2; ++round)
     {
         for (std::size_t i = 0; i < odd.size(); ++i)
--- a/tests/relay/test_store_changes.cpp
+++ b/tests/relay/test_store_changes.cpp
@@ -73,7 +73,7 @@
     }
 
     /// Number of replicas of a service that may get requests.
-    std::size_t usable(const std::string& service)
+    std::size_t usable(const std::string& service) const
     {
         return this->simulation.engine.registry
             .usable(service, this->simulation.loop.now())
--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -117,7 +117,7 @@
 BOOST_AUTO_TEST_CASE(random_bytes_do_no_harm)
 {
     rc::check(
-        [](std::string text)
+        [](const std::string& text)
         {
             (void)platform::decode_replica("r", text);
         });
