--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -122,6 +122,12 @@
 
     before_handler before;
 
+    /// Tells whether the answer to a request is broken off.
+    std::function<bool(const message&)> breaks_off;
+
+    /// Log lines for each request that runs.
+    bool logs_runs = true;
+
     [[nodiscard]] unsigned times_run(const std::string& id)
     {
         const std::lock_guard lock(this->mutex);
@@ -180,6 +186,13 @@
                 return;
             }
             previous = this->handle(request);
+            const bool is_broken_off =
+                this->breaks_off && this->breaks_off(request);
+            if (is_broken_off)
+            {
+                connection.write(previous.substr(0, previous.size() / 2));
+                return;
+            }
             if (!this->is_up || !connection.write(previous))
             {
                 return;
@@ -202,14 +215,12 @@
             return make_answer(421, fields, "");
         }
         const bool is_head = request.word(0) == "HEAD";
-        if (this->running >= this->own.slots + this->own.queue)
+        if (++this->running > this->own.slots + this->own.queue)
         {
+            --this->running;
             fields.emplace_back("X-Not-Executed", "1");
-            this->log.write("replica " + this->own.id + " rejects " +
-                            (id.empty() ? "a health check" : id));
             return make_answer(503, fields, "", is_head);
         }
-        ++this->running;
         if (request.word(1) == "/healthz")
         {
             --this->running;
@@ -219,8 +230,11 @@
             const std::lock_guard lock(this->mutex);
             ++this->runs[id];
         }
-        this->log.write("replica " + this->own.id + " runs " + id + " " +
-                        request.word(0) + " " + request.word(1));
+        if (this->logs_runs || request.word(1).rfind("/book/", 0) == 0)
+        {
+            this->log.write("replica " + this->own.id + " runs " + id + " " +
+                            request.word(0) + " " + request.word(1));
+        }
         const auto asked = request.word(1).find("work=");
         const milliseconds work =
             asked == std::string::npos
@@ -316,6 +330,12 @@
         return true;
     }
 
+    /// Starts a process that has ended.
+    void restart(node& item)
+    {
+        this->start(item);
+    }
+
     /// Tells whether a process has ended by itself.
     bool has_ended(node& item)
     {
