--- a/review/standin/store.hpp
+++ b/review/standin/store.hpp
@@ -117,9 +117,31 @@
         this->changed.notify_all();
     }
 
+    /// Drops the history and cuts the watches that wait.
+    void compact()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->history.clear();
+        ++this->revision;
+        this->history_begins = this->revision;
+        ++this->watch_cuts;
+        this->changed.notify_all();
+    }
+
   private:
     using object = boost::json::object;
 
+    static constexpr std::size_t max_page_items = 500;
+    static constexpr std::size_t max_page_bytes = std::size_t{1} << 20U;
+
+    struct change
+    {
+        std::uint64_t revision = 0;
+        std::string key;
+        std::size_t size = 0;
+        object event;
+    };
+
     struct item
     {
         std::string value;
@@ -150,7 +172,8 @@
         entry.revision = ++this->revision;
         entry.created = entry.created == 0 ? this->revision : entry.created;
         entry.lease = lease;
-        this->history.emplace_back(this->revision, describe(key, entry));
+        this->history.push_back(
+            {this->revision, key, value.size(), describe(key, entry)});
     }
 
     void erase(const std::string& key)
@@ -158,10 +181,12 @@
         if (this->items.erase(key) > 0)
         {
             ++this->revision;
-            this->history.emplace_back(this->revision,
-                                       object{{"key", key},
-                                              {"revision", this->revision},
-                                              {"compacted", true}});
+            this->history.push_back({this->revision,
+                                     key,
+                                     0,
+                                     object{{"key", key},
+                                            {"revision", this->revision},
+                                            {"compacted", true}}});
         }
     }
 
@@ -308,6 +333,7 @@
         const auto prefix = parameter(target, "prefix");
         const auto after = parameter(target, "after");
         boost::json::array listed;
+        std::size_t bytes = 0;
         bool has_more = false;
         for (const auto& [key, entry] : this->items)
         {
@@ -315,11 +341,15 @@
             {
                 continue;
             }
-            if (listed.size() == 500)
+            const bool is_full = listed.size() == max_page_items ||
+                                 (!listed.empty() &&
+                                  bytes + entry.value.size() > max_page_bytes);
+            if (is_full)
             {
                 has_more = true;
                 break;
             }
+            bytes += entry.value.size();
             listed.emplace_back(describe(key, entry));
         }
         body = {{"items", std::move(listed)},
@@ -336,21 +366,41 @@
         const auto until =
             clock::now() + milliseconds(number(parameter(target, "waitMs")));
         boost::json::array events;
+        const auto cuts = this->watch_cuts;
+        auto at_revision = after;
         const auto collect = [&]
         {
-            for (const auto& [revision, event] : this->history)
+            std::size_t bytes = 0;
+            at_revision = this->revision;
+            for (const auto& change : this->history)
             {
-                const auto& key = event.at("key").as_string();
-                if (revision > after &&
-                    std::string(key.c_str()).rfind(prefix, 0) == 0)
+                if (change.revision <= after ||
+                    change.key.rfind(prefix, 0) != 0)
+                {
+                    continue;
+                }
+                if (bytes > 0 && bytes + change.size > max_page_bytes)
                 {
-                    events.emplace_back(event);
+                    // Continues from the last event of this page.
+                    break;
                 }
+                bytes += change.size + 1;
+                events.emplace_back(change.event);
+                at_revision = change.revision;
             }
-            return !events.empty() || this->is_stopping;
+            return !events.empty() || this->is_stopping ||
+                   this->watch_cuts != cuts;
         };
+        if (after < this->history_begins)
+        {
+            return 410;
+        }
         this->changed.wait_until(lock, until, collect);
-        body = {{"events", std::move(events)}, {"atRevision", this->revision}};
+        if (events.empty() && after < this->history_begins)
+        {
+            return 410;
+        }
+        body = {{"events", std::move(events)}, {"atRevision", at_revision}};
         return 200;
     }
 
@@ -403,7 +453,9 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, item> items;
-    std::vector<std::pair<std::uint64_t, object>> history;
+    std::vector<change> history;
+    std::uint64_t history_begins = 0;
+    std::uint64_t watch_cuts = 0;
     std::map<std::uint64_t, lease_state> leases;
     std::uint64_t revision = 1;
     std::uint64_t last_lease = 0;
