--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -551,8 +551,10 @@
   public:
     temporary_folder()
     {
-        char name[] = "/tmp/review.XXXXXX";
-        this->path = ::mkdtemp(name);
+        const char* parent = std::getenv("TMPDIR");
+        this->path = std::string(parent == nullptr ? "/tmp" : parent) +
+                     "/review.XXXXXX";
+        ::mkdtemp(this->path.data());
     }
 
     ~temporary_folder()
