--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 mkdir -p bin
 flags=(-std=c++20 -O1 -Wall -Wextra -pthread)
 g++ "${flags[@]}" -c standin/json.cpp -o bin/json.o
-for source in pipelined head second_answer stale_followers; do
+for source in pipelined head second_answer stale_followers long_header; do
   g++ "${flags[@]}" "standin/$source.cpp" bin/json.o -o "bin/$source"
 done
--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -490,7 +490,7 @@
 inline void configure(store& platform,
                       unsigned version,
                       const std::vector<route>& routes,
-                      double cold_per_second = 0)
+                      std::size_t max_header_bytes = 16384)
 {
     std::ostringstream text;
     text << R"({"version":)" << version << R"(,"routes":[)";
@@ -513,10 +513,11 @@
         text << (is_first ? "" : ",") << R"({"name":")" << name
              << R"(","healthCheckPath":"/healthz","maxConnections":110,)"
              << R"("protocol":"h1","tlsEnabled":false,"warmupS":3.0,)"
-             << R"("warmupPerS":)" << cold_per_second << "}";
+             << R"("warmupPerS":0.0})";
         is_first = false;
     }
-    text << R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+    text << R"(],"limits":{"maxHeaderBytes":)" << max_header_bytes
+         << R"(,"maxBodyBytes":262144,)"
          << R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
     platform.put("op/config", text.str());
 }
