--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -239,11 +239,11 @@
         const milliseconds work =
             asked == std::string::npos
                 ? this->own.work
-                : milliseconds(
-                      std::atoi(request.word(1).c_str() + asked + 5));
+                : milliseconds(std::atoi(request.word(1).c_str() + asked + 5));
         std::this_thread::sleep_for(work);
         --this->running;
-        fields.emplace_back("X-Server-Stamp", "stamp." + this->own.id + "." + id);
+        fields.emplace_back("X-Server-Stamp",
+                            "stamp." + this->own.id + "." + id);
         return make_answer(
             200, fields, "answer to " + id + " " + request.word(1), is_head);
     }
@@ -283,10 +283,10 @@
         for (int i = 0; i < 4; ++i)
         {
             const std::string zone = i < 2 ? "north" : "south";
-            this->nodes.push_back({"frontend-" + zone + "-" +
-                                       std::to_string(i % 2 + 1),
-                                   zone,
-                                   "127.0.0." + std::to_string(11 + i)});
+            this->nodes.push_back(
+                {"frontend-" + zone + "-" + std::to_string(i % 2 + 1),
+                 zone,
+                 "127.0.0." + std::to_string(11 + i)});
         }
         this->choose_ports();
     }
@@ -370,11 +370,9 @@
             {
                 for (int i = 0; i < 20; ++i)
                 {
-                    all_free =
-                        all_free &&
-                        is_free(item.ip,
-                                static_cast<std::uint16_t>(this->first_port +
-                                                           i));
+                    all_free = all_free && is_free(item.ip,
+                                                   static_cast<std::uint16_t>(
+                                                       this->first_port + i));
                 }
             }
             if (all_free)
@@ -407,8 +405,8 @@
             << "\nseedNodes:\n";
         for (std::size_t i = 0; i < 3; ++i)
         {
-            out << "  - \"" << this->nodes[i].ip << ":"
-                << this->first_port + 19 << "\"\n";
+            out << "  - \"" << this->nodes[i].ip << ":" << this->first_port + 19
+                << "\"\n";
         }
         out << "bootstrap: true\nfaultCounted: false\nlimits:\n"
                "  cpuShare: 0.25\n  cpuCores: 1\n  memoryMb: 260\n"
@@ -498,10 +496,9 @@
     for (const auto& item : routes)
     {
         text << (services.empty() ? "" : ",") << R"({"name":"r)"
-             << item.prefix.substr(1, item.prefix.size() - 2)
-             << R"(","host":")" << host << R"(","prefix":")" << item.prefix
-             << R"(","type":")" << item.type << R"(","timeoutMs":)"
-             << item.timeout_ms
+             << item.prefix.substr(1, item.prefix.size() - 2) << R"(","host":")"
+             << host << R"(","prefix":")" << item.prefix << R"(","type":")"
+             << item.type << R"(","timeoutMs":)" << item.timeout_ms
              << R"(,"targetLatencyMs":250,"priority":1,"service":")"
              << item.service << R"(","maxAttempts":2})";
         services.insert(item.service);
@@ -553,8 +550,8 @@
     temporary_folder()
     {
         const char* parent = std::getenv("TMPDIR");
-        this->path = std::string(parent == nullptr ? "/tmp" : parent) +
-                     "/review.XXXXXX";
+        this->path =
+            std::string(parent == nullptr ? "/tmp" : parent) + "/review.XXXXXX";
         ::mkdtemp(this->path.data());
     }
 
--- a/review/standin/head.cpp
+++ b/review/standin/head.cpp
@@ -35,10 +35,8 @@
     log.write("client sends " + head_id + " HEAD to " + node.name);
     connection->write(make_request("HEAD", head_target, head_id));
     message answer;
-    if (!read_message(*connection,
-                      answer,
-                      clock::now() + std::chrono::seconds(3),
-                      false))
+    if (!read_message(
+            *connection, answer, clock::now() + std::chrono::seconds(3), false))
     {
         log.write("client gets no answer to " + head_id);
         return true;
--- a/review/standin/long_header.cpp
+++ b/review/standin/long_header.cpp
@@ -1,6 +1,6 @@
-// The operator raises the limit on the header of a request. One client then sends
-// a header that stays below it, to each relay, while others use the relays.
-// long_header PROGRAM RECORD
+// The operator raises the limit on the header of a request. One client then
+// sends a header that stays below it, to each relay, while others use the
+// relays. long_header PROGRAM RECORD
 #include "deployment.hpp"
 
 using namespace review;
@@ -166,8 +166,8 @@
     {
         lost += first.times_run(id) + second.times_run(id) > 0 ? 1 : 0;
     }
-    log.write("served: " + std::to_string(served) + ", processes ended: " +
-              std::to_string(ended) +
+    log.write("served: " + std::to_string(served) +
+              ", processes ended: " + std::to_string(ended) +
               ", requests passed on and closed without an answer: " +
               std::to_string(lost));
     platform.stop();
--- a/review/standin/net.hpp
+++ b/review/standin/net.hpp
@@ -78,10 +78,8 @@
         std::size_t done = 0;
         while (done < text.size())
         {
-            const auto sent = ::send(this->fd,
-                                     text.data() + done,
-                                     text.size() - done,
-                                     MSG_NOSIGNAL);
+            const auto sent = ::send(
+                this->fd, text.data() + done, text.size() - done, MSG_NOSIGNAL);
             if (sent <= 0)
             {
                 return false;
@@ -95,8 +93,8 @@
     /// arrive until the deadline.
     bool fill(clock::time_point until)
     {
-        const auto left = std::chrono::duration_cast<milliseconds>(
-            until - clock::now());
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(until - clock::now());
         pollfd item{this->fd, POLLIN, 0};
         if (poll(&item, 1, static_cast<int>(std::max<long>(0, left.count()))) !=
             1)
@@ -137,7 +135,7 @@
 
 struct message
 {
-    std::string start; ///< request line or status line
+    std::string start;                         ///< request line or status line
     std::map<std::string, std::string> fields; ///< names in lower case
     std::string body;
 
@@ -190,8 +188,7 @@
         const auto colon = line.find(':');
         auto name = line.substr(0, colon);
         std::transform(name.begin(), name.end(), name.begin(), ::tolower);
-        auto value =
-            colon == std::string::npos ? "" : line.substr(colon + 1);
+        auto value = colon == std::string::npos ? "" : line.substr(colon + 1);
         value.erase(0, value.find_first_not_of(' '));
         to.fields[name] = value;
         at = line_end + 2;
--- a/review/standin/pipelined.cpp
+++ b/review/standin/pipelined.cpp
@@ -116,11 +116,11 @@
             ++found.twice;
         }
     }
-    log.write("answers to other requests: " + std::to_string(found.foreign) +
-              ", non-idempotent requests run twice: " +
-              std::to_string(found.twice) +
-              ", connections left without an answer: " +
-              std::to_string(found.unanswered));
+    log.write(
+        "answers to other requests: " + std::to_string(found.foreign) +
+        ", non-idempotent requests run twice: " + std::to_string(found.twice) +
+        ", connections left without an answer: " +
+        std::to_string(found.unanswered));
     platform.stop();
     if (runs.empty())
     {
--- a/review/standin/second_answer.cpp
+++ b/review/standin/second_answer.cpp
@@ -127,10 +127,8 @@
     {
         const auto number = shared.next_lookup++;
         const auto& node = shared.fleet.nodes[(number + client) % 4];
-        const int status = call(node,
-                                "GET",
-                                "/log/" + std::to_string(number),
-                                request_id(number));
+        const int status = call(
+            node, "GET", "/log/" + std::to_string(number), request_id(number));
         shared.lookups_served += status == 200 ? 1 : 0;
         std::this_thread::sleep_for(milliseconds(status == 200 ? 5 : 20));
     }
--- a/review/standin/stale_followers.cpp
+++ b/review/standin/stale_followers.cpp
@@ -39,9 +39,8 @@
 }
 
 /// Returns the stamp of the answer, or its status line without one.
-std::string ask(const relay_fleet::node& node,
-                const std::string& id,
-                record& log)
+std::string
+ask(const relay_fleet::node& node, const std::string& id, record& log)
 {
     const auto connection = stream::connect(node.ip, node.callers);
     message answer;
@@ -100,8 +99,7 @@
             platform.compact();
             log.write("the store forgets its history and cuts the watches");
         }
-        std::this_thread::sleep_for(stability_window +
-                                    std::chrono::seconds(2));
+        std::this_thread::sleep_for(stability_window + std::chrono::seconds(2));
         configure(platform, 9, {{"/log/", "idempotent", "counter"}});
         const auto due = clock::now() + config_apply;
         log.write("the store acknowledges version 9");
@@ -117,9 +115,10 @@
             std::this_thread::sleep_for(milliseconds(700));
         }
     }
-    log.write("requests sent after version 9 was due: run by the old service: " +
-              std::to_string(by_old_service) + ", by the new one: " +
-              std::to_string(by_new_service));
+    log.write(
+        "requests sent after version 9 was due: run by the old service: " +
+        std::to_string(by_old_service) +
+        ", by the new one: " + std::to_string(by_new_service));
     platform.stop();
     if (served_before < 4 || by_old_service + by_new_service == 0)
     {
--- a/review/standin/store.hpp
+++ b/review/standin/store.hpp
@@ -22,10 +22,9 @@
         unsigned group = 0;
         for (std::size_t j = 0; j < 3; ++j)
         {
-            group = group << 8U |
-                    (i + j < text.size()
-                         ? static_cast<unsigned char>(text[i + j])
-                         : 0U);
+            group = group << 8U | (i + j < text.size()
+                                       ? static_cast<unsigned char>(text[i + j])
+                                       : 0U);
         }
         for (std::size_t j = 0; j < 4; ++j)
         {
@@ -165,7 +164,8 @@
                 {"leaseId", from.lease}};
     }
 
-    void write(const std::string& key, const std::string& value, std::uint64_t lease)
+    void
+    write(const std::string& key, const std::string& value, std::uint64_t lease)
     {
         auto& entry = this->items[key];
         entry.value = value;
@@ -232,7 +232,8 @@
         }
     }
 
-    static std::string parameter(const std::string& target, const std::string& name)
+    static std::string parameter(const std::string& target,
+                                 const std::string& name)
     {
         auto at = target.find('?');
         while (at != std::string::npos)
@@ -307,8 +308,7 @@
                                             .to_number<std::int64_t>());
             this->leases[++this->last_lease] = {clock::now() + duration,
                                                 duration};
-            body = {{"leaseId", this->last_lease},
-                    {"ttlMs", duration.count()}};
+            body = {{"leaseId", this->last_lease}, {"ttlMs", duration.count()}};
             return 200;
         }
         const auto id = number(path.substr(path.rfind('/') + 1));
