--- a/src/adapters/relay/peer_feed.cpp
+++ b/src/adapters/relay/peer_feed.cpp
@@ -1,9 +1,13 @@
 #include <adapters/relay/peer_feed.hpp>
 
 #include <charconv>
+#include <iterator>
 #include <map>
+#include <optional>
 #include <utility>
 
+#include <boost/algorithm/hex.hpp>
+
 #include <schemas/generated/relay_generated.h>
 
 #include <adapters/relay/compression.hpp>
@@ -19,7 +23,7 @@
 namespace
 {
 
-constexpr std::string_view list_target = "/list";
+constexpr std::string_view list_target = "/pages?after=";
 constexpr std::string_view watch_target = "/watch?after=";
 constexpr std::string_view era_parameter = "&era=";
 constexpr std::string_view wait_header = "wait-ms";
@@ -27,6 +31,10 @@
 constexpr unsigned status_gone = 410;
 constexpr unsigned status_unavailable = 503;
 
+/// Size of one page of a listing, in bytes. It is below the limit on a
+/// response, whatever the size of the whole listing.
+constexpr std::size_t page_size = 512U << 10U;
+
 /// Time for an answer beyond the wait that was requested.
 constexpr std::chrono::milliseconds answer_timeout{600};
 
@@ -37,6 +45,30 @@
     return value;
 }
 
+/// Keys may contain any bytes, so they are sent as hexadecimal digits.
+std::string write_list_target(const std::string& after)
+{
+    std::string target(list_target);
+    boost::algorithm::hex(after, std::back_inserter(target));
+    return target;
+}
+
+std::optional<std::string> read_list_target(std::string_view target)
+{
+    try
+    {
+        std::string after;
+        target.remove_prefix(list_target.size());
+        boost::algorithm::unhex(
+            target.begin(), target.end(), std::back_inserter(after));
+        return after;
+    }
+    catch (const boost::algorithm::hex_decode_error&)
+    {
+        return std::nullopt;
+    }
+}
+
 ports::store_position read_watch_target(std::string_view target)
 {
     target.remove_prefix(watch_target.size());
@@ -77,8 +109,8 @@
     const auto era =
         page.era ? flatbuffers::Optional<std::uint64_t>(*page.era)
                  : flatbuffers::Optional<std::uint64_t>(flatbuffers::nullopt);
-    builder.Finish(
-        schemas::CreateStorePageDirect(builder, &items, page.revision, era));
+    builder.Finish(schemas::CreateStorePageDirect(
+        builder, &items, page.revision, era, page.has_more));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -110,6 +142,7 @@
     const auto* from = flatbuffers::GetRoot<schemas::StorePage>(bytes);
     store_page page;
     page.revision = from->revision();
+    page.has_more = from->more();
     if (const auto era = from->era())
     {
         page.era = *era;
@@ -155,9 +188,10 @@
         respond(status_response(status_unavailable));
         return;
     }
-    if (message.target == list_target)
+    if (message.target.starts_with(list_target))
     {
-        respond(this->listing());
+        const auto after = read_list_target(message.target);
+        respond(after ? this->listing(*after) : status_response(404));
         return;
     }
     if (!message.target.starts_with(watch_target))
@@ -195,16 +229,22 @@
                              });
 }
 
-http::response peer_feed::listing()
+http::response peer_feed::listing(const std::string& after)
 {
     if (this->cached_position != this->mirror.position())
     {
-        this->cached_listing = page_response(this->mirror.listing()).body;
+        this->cached_pages.clear();
         this->cached_position = this->mirror.position();
     }
+    auto found = this->cached_pages.find(after);
+    if (found == this->cached_pages.end())
+    {
+        auto page = page_response(this->mirror.listing(after, page_size)).body;
+        found = this->cached_pages.emplace(after, std::move(page)).first;
+    }
     http::response reply;
     reply.content_type = "application/octet-stream";
-    reply.body = this->cached_listing;
+    reply.body = found->second;
     return reply;
 }
 
@@ -229,10 +269,10 @@
 {
 }
 
-void peer_reader::list(const std::string& /*after*/,
+void peer_reader::list(const std::string& after,
                        ports::store_handler<store_page> done)
 {
-    this->call(std::string(list_target),
+    this->call(write_list_target(after),
                std::chrono::milliseconds(0),
                std::move(done));
 }
--- a/src/adapters/relay/peer_feed.hpp
+++ b/src/adapters/relay/peer_feed.hpp
@@ -44,14 +44,15 @@
     };
 
     void answer(const pending_watch& watch);
-    [[nodiscard]] http::response listing();
+    [[nodiscard]] http::response listing(const std::string& after);
 
     ports::runtime& runtime;
     const core::relay::store_mirror& mirror;
     std::map<std::uint64_t, pending_watch> pending;
     std::uint64_t next_watch_id = 1;
-    /// Encoded listing, cached since many starting nodes ask for the same one.
-    std::string cached_listing;
+    /// Encoded pages by the key that they begin after, cached since many
+    /// starting nodes ask for the same ones.
+    std::map<std::string, std::string> cached_pages;
     ports::store_position cached_position;
 };
 
--- a/src/adapters/relay/source_switch.hpp
+++ b/src/adapters/relay/source_switch.hpp
@@ -2,6 +2,7 @@
 /// @brief Switches the store follower between the store and other nodes.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,9 @@
     }
 
   private:
+    /// Avoids the followed node for a while if its answers are missing.
+    void avoid_unreachable_source(core::base::time_point now);
+
     boost::asio::io_context& io;
     ports::runtime& runtime;
     ports::metadata_reader& store;
@@ -77,6 +81,9 @@
     bool is_chosen = false;
     std::string followed; ///< name of the node; empty for the store
     std::string followed_address;
+    core::base::time_point followed_since{};
+    /// Nodes that are not followed again before a time, as they gave no answer.
+    std::map<std::string, core::base::time_point> avoided;
     std::unique_ptr<peer_reader> reader;
     /// Readers of earlier sources, kept since calls in flight may use them.
     std::vector<std::unique_ptr<peer_reader>> former_readers;
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -108,6 +108,7 @@
     event_row{log_event::entry_left, "entry_left", log_level::info},
     event_row{log_event::cut_off, "cut_off", log_level::warning},
     event_row{log_event::cut_healed, "cut_healed", log_level::info},
+    event_row{log_event::source_avoided, "source_avoided", log_level::warning},
     event_row{log_event::request_started, "request_started", log_level::info},
     event_row{log_event::request_answered, "request_answered", log_level::info},
     event_row{log_event::send_failed, "send_failed", log_level::info},
@@ -126,6 +127,7 @@
     event_row{log_event::send_unanswered, "send_unanswered", log_level::info},
     event_row{
         log_event::quarantine_ignored, "quarantine_ignored", log_level::info},
+    event_row{log_event::handler_failed, "handler_failed", log_level::error},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -93,6 +93,7 @@
     entry_left = 1046,
     cut_off = 1047,
     cut_healed = 1048,
+    source_avoided = 1049,
     request_started = 1050,
     request_answered = 1051,
     send_failed = 1052,
@@ -108,6 +109,7 @@
     quarantine_ended = 1062,
     send_unanswered = 1063,
     quarantine_ignored = 1064,
+    handler_failed = 1065,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -36,6 +36,7 @@
     store_calls,
     store_failures,
     directory_answers,
+    handler_failures,
     end
 };
 
@@ -62,7 +63,8 @@
                         "probes",
                         "store_calls",
                         "store_failures",
-                        "directory_answers"};
+                        "directory_answers",
+                        "handler_failures"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/store_mirror.cpp
+++ b/src/core/relay/store_mirror.cpp
@@ -178,18 +178,31 @@
     this->on_change(item);
 }
 
-ports::store_page store_mirror::listing() const
+ports::store_page store_mirror::listing(const std::string& after,
+                                        std::size_t max_bytes) const
 {
     ports::store_page page;
-    for (const auto& [key, item] : this->items)
+    page.revision = this->known.revision;
+    page.era = this->known.era;
+    std::size_t bytes = 0;
+    for (auto next = this->items.upper_bound(after); next != this->items.end();
+         ++next)
     {
-        if (!item.is_removed)
+        const auto& item = next->second;
+        if (item.is_removed)
         {
-            page.items.push_back(item);
+            continue;
         }
+        const auto size = item.key.size() + item.value.size();
+        if (!page.items.empty() &&
+            size > max_bytes - std::min(bytes, max_bytes))
+        {
+            page.has_more = true;
+            break;
+        }
+        bytes += size;
+        page.items.push_back(item);
     }
-    page.revision = this->known.revision;
-    page.era = this->known.era;
     return page;
 }
 
--- a/src/core/relay/store_mirror.hpp
+++ b/src/core/relay/store_mirror.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,8 +55,12 @@
         return this->known;
     }
 
-    /// @brief All items, for another node.
-    [[nodiscard]] ports::store_page listing() const;
+    /// @brief Part of the items in the order of their keys, for another node.
+    /// @param after the key after which the page begins; empty for the first
+    /// @param max_bytes size of the page; one item may exceed it
+    [[nodiscard]] ports::store_page listing(
+        const std::string& after = {},
+        std::size_t max_bytes = std::numeric_limits<std::size_t>::max()) const;
 
     /// @brief The changes after a state, for another node.
     /// @return nullopt if the history does not go back that far
