HTTP server: handle each pipelined request once

What callers saw: the request after a pipelined one was never forwarded, got the answer of the request before it, and that one ran twice. Cause: a read was pending into the buffer while the buffer was consumed and moved back to its start. Change: reads go to memory of their own and are copied when they are done.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -273,7 +273,7 @@
         }
         this->is_reading = true;
         this->socket.async_read_some(
-            this->buffer.prepare(read_size_bytes),
+            boost::asio::buffer(this->input),
             [self = this->shared_from_this()](const beast::error_code& error,
                                               std::size_t count)
             {
@@ -302,7 +302,9 @@
             this->read();
             return;
         }
-        this->buffer.commit(count);
+        // Copied here, since the buffer may be consumed while a read is pending.
+        this->buffer.commit(boost::asio::buffer_copy(
+            this->buffer.prepare(count), boost::asio::buffer(this->input)));
         if (this->current == state::idle || this->current == state::receiving)
         {
             this->parse();
@@ -535,6 +537,8 @@
 
     tcp::socket socket;
     boost::asio::steady_timer timer;
+    /// Receives what is read; only a pending read uses it.
+    std::array<char, read_size_bytes> input;
     beast::flat_buffer buffer; ///< received bytes that are not parsed yet
     std::optional<request_parser> parser;
     std::string outgoing_head;
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -153,6 +153,43 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(pipelined_requests)
+
+// A request that arrived before the answer to the one before was handled again
+// in place of the next one, which got its answer.
+BOOST_AUTO_TEST_CASE(each_is_handled_once_and_in_order)
+{
+    stopping_server pipelined;
+    pipelined.answer_delay = 20ms;
+    auto caller = pipelined.connect();
+    std::vector<std::string> sent;
+    std::string answers;
+    // Requests of a burst are sent together; the last one is cut in two.
+    for (const std::string burst : {"a", "b", "", "c", "de", "", "f", "g", ""})
+    {
+        std::string text;
+        for (const auto name : burst)
+        {
+            sent.push_back(std::string("/") + name);
+            text += "GET " + sent.back() + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        }
+        const auto middle = text.size() - std::min<std::size_t>(7, text.size());
+        stopping_server::write(caller, text.substr(0, middle));
+        pipelined.io.run_for(2ms);
+        stopping_server::write(caller, text.substr(middle));
+        pipelined.io.run_for(2ms);
+        if (burst.empty())
+        {
+            // All are answered before the next burst.
+            answers += pipelined.read(caller);
+        }
+    }
+    BOOST_TEST(count(answers, "whole") == sent.size());
+    BOOST_TEST(pipelined.targets == sent, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(exceptions)
 
 // A field value of more than 65,533 bytes, which the limits may allow, ended
