HTTP server: send no body in response to HEAD

What callers saw: the body of a refused HEAD request stood before their next answer. Cause: responses were written without regard to the request's method. Change: the one place that writes responses knows the method.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -302,7 +302,8 @@
             this->read();
             return;
         }
-        // Copied here, since the buffer may be consumed while a read is pending.
+        // Copied here, since the buffer may be consumed while a read is
+        // pending.
         this->buffer.commit(boost::asio::buffer_copy(
             this->buffer.prepare(count), boost::asio::buffer(this->input)));
         if (this->current == state::idle || this->current == state::receiving)
@@ -428,6 +429,7 @@
         this->keep_alive = this->parser->keep_alive();
         this->version = this->parser->version();
         this->exchange = this->owner->next_exchange++;
+        this->is_head = this->parser->parsed().method == "HEAD";
         auto incoming = this->parser->release();
         incoming.exchange = this->exchange;
         incoming.round_trip = kernel_round_trip(this->socket);
@@ -461,6 +463,7 @@
     {
         this->keep_alive = false;
         this->version = this->parser->version();
+        this->is_head = this->parser->parsed().method == "HEAD";
         if (!this->owner->handlers.on_bad_input)
         {
             this->close();
@@ -483,7 +486,7 @@
         }
         this->outgoing_head = write_response_head(
             reply, {.version = this->version, .keep_alive = this->keep_alive});
-        this->outgoing_body = !may_have_body(reply.status)
+        this->outgoing_body = this->is_head || !may_have_body(reply.status)
                                   ? std::string()
                                   : std::move(reply.body);
         if (this->owner != nullptr)
@@ -549,6 +552,7 @@
     std::uint64_t exchange = 0;
     bool is_reading = false;
     bool has_sent_continue = false;
+    bool is_head = false; ///< the method of the last request is HEAD
     bool keep_alive = true;
     unsigned version = 11;
 };
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -190,6 +190,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(responses)
+
+// The body of a response to HEAD was read as the start of the next response.
+BOOST_AUTO_TEST_CASE(those_to_head_have_no_body)
+{
+    stopping_server server;
+    auto caller = server.connect();
+    stopping_server::write(caller, "HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto head = server.read(caller);
+    BOOST_TEST(head.ends_with("\r\n\r\n"));
+    BOOST_TEST(count(head, "Content-Length: 5\r\n") == 1U);
+    stopping_server::write(caller, "HEAD /x HTTP/1.1\r\nbad header\r\n\r\n");
+    const auto refusal = server.read(caller);
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 400 "));
+    BOOST_TEST(refusal.ends_with("\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(exceptions)
 
 // A field value of more than 65,533 bytes, which the limits may allow, ended
