HTTP server: read connections that are accepted as the listener closes

Cause: a completed accept was dropped once the listener was closed, and a connection just accepted was closed unless its request had arrived already. Change: it is read, and has 200 ms for its first byte.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -38,6 +38,10 @@
 
 constexpr std::size_t read_size_bytes = 4U << 10U;
 
+/// Wait for the request on a connection that was accepted as the listener
+/// closed: longer than a caller's round trip.
+constexpr std::chrono::milliseconds first_request_wait{200};
+
 /// Delay after a failed accept, such as when file descriptors run out.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
@@ -115,6 +119,7 @@
     std::set<session*> sessions;
     std::uint64_t next_exchange = 1;
     bool is_draining = false;
+    bool is_closing_idle = false;
 
   private:
     void accept_pending();
@@ -157,7 +162,7 @@
         const auto delay = this->owner->handlers.accept_delay
                                ? this->owner->handlers.accept_delay()
                                : std::chrono::milliseconds(0);
-        if (delay.count() == 0)
+        if (delay.count() == 0 || this->owner->is_closing_idle)
         {
             this->begin_request();
             return;
@@ -198,6 +203,13 @@
         }
     }
 
+    /// Closes a connection that was accepted during the stop, unless a request
+    /// arrives on it.
+    void close_unless_request_follows()
+    {
+        this->expire_after(first_request_wait);
+    }
+
     void close()
     {
         this->current = state::closed;
@@ -562,6 +574,12 @@
     this->acceptor.async_accept(
         [this](const boost::system::error_code& error, tcp::socket socket)
         {
+            if (!error)
+            {
+                // Also after the listener was closed: the caller may have sent
+                // a request.
+                this->start_session(std::move(socket));
+            }
             if (error == boost::asio::error::operation_aborted ||
                 !this->acceptor.is_open())
             {
@@ -580,16 +598,21 @@
                     });
                 return;
             }
-            this->start_session(std::move(socket));
             this->accept();
         });
 }
 
 void beast_server::start_session(tcp::socket socket)
 {
-    if (this->sessions.size() < this->limits.connections)
+    if (this->sessions.size() >= this->limits.connections)
+    {
+        return;
+    }
+    const auto started = std::make_shared<session>(std::move(socket), this);
+    started->start();
+    if (this->is_closing_idle)
     {
-        std::make_shared<session>(std::move(socket), this)->start();
+        started->close_unless_request_follows();
     }
 }
 
@@ -622,10 +645,11 @@
 {
     // Closing the listener resets connections that were not accepted yet, and
     // their callers may have sent requests.
+    const auto open = this->sessions;
+    this->is_closing_idle = true;
     this->accept_pending();
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
-    const auto open = this->sessions;
     for (auto* item : open)
     {
         item->close_if_idle();
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -140,6 +140,18 @@
     BOOST_TEST(stopping.read(caller).ends_with("whole"));
 }
 
+// A connection that was accepted as the listener closed was dropped unread.
+BOOST_AUTO_TEST_CASE(a_request_that_follows_its_connection_is_answered)
+{
+    stopping_server stopping;
+    stopping.server->drain();
+    auto caller = stopping.connect();
+    stopping.server->close_idle();
+    stopping.io.run_for(50ms);
+    stopping_server::write(caller, request_text);
+    BOOST_TEST(stopping.read(caller).ends_with("whole"));
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed)
 {
     stopping_server stopping;
