Replica connections: accept no answer without an id after another exchange

What callers saw: a late second answer to a rejected health check was taken for the answer to a non-idempotent request, which ran twice or was answered 503 after it had run. Cause: an answer without an id was refused only after an answer with one. Change: after any exchange an answer must have its request's id; a connection whose answer had none is closed; a health check does not follow another one on a connection.

--- a/src/adapters/relay/replica_connection.cpp
+++ b/src/adapters/relay/replica_connection.cpp
@@ -288,14 +288,16 @@
     }
     const auto& request_id = this->current->request->id;
     const bool has_id = platform::has_request_id(message);
-    if (this->echoes_ids && !has_id && !request_id.empty())
+    const bool is_identified = has_id || request_id.empty();
+    if (this->was_used && !is_identified)
     {
-        // It may be a late duplicate answer to an earlier request.
+        // It may be a late second answer to an earlier request or health check.
         this->fail(send_result::broken, "answer without the request's id");
         return;
     }
-    this->echoes_ids = this->echoes_ids || has_id;
-    this->keep_alive = this->keep_alive && message.keep_alive();
+    this->was_used = true;
+    this->keep_alive =
+        this->keep_alive && message.keep_alive() && is_identified;
     this->keep_alive_timeout =
         parse_keep_alive_timeout(message[bhttp::field::keep_alive]);
     auto outcome = platform::read_replica_answer(std::move(message));
--- a/src/adapters/relay/replica_connection.hpp
+++ b/src/adapters/relay/replica_connection.hpp
@@ -83,8 +83,9 @@
         return this->last_used;
     }
 
-    /// @brief The id of the last request that was started.
-    [[nodiscard]] const std::string& last_request() const
+    /// @brief The id of the last request that was started, empty for a health
+    ///        check; nothing if there was none.
+    [[nodiscard]] const std::optional<std::string>& last_request() const
     {
         return this->last_request_id;
     }
@@ -128,7 +129,7 @@
     std::optional<parser_type> parser;
     std::shared_ptr<core::relay::answer_reservation> reservation;
     std::optional<job> current;
-    std::string last_request_id;
+    std::optional<std::string> last_request_id;
     std::chrono::steady_clock::time_point last_used{};
     std::string outgoing_head;
     std::chrono::milliseconds keep_alive_timeout{0};
@@ -136,7 +137,7 @@
     bool is_writing = false;
     bool may_have_sent = false; ///< a byte of the request may have been written
     std::size_t skipped_answers = 0; ///< during the current request
-    bool echoes_ids = false;         ///< an answer contained its request's id
+    bool was_used = false; ///< an earlier exchange may cause late bytes
     bool keep_alive = true;
     bool is_closed_by_peer = false;
 };
--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -128,9 +128,8 @@
     {
         // A connection that carried the same request before is skipped: a late
         // duplicate answer could not be distinguished from the answer to this
-        // attempt.
-        const bool is_ambiguous =
-            !request_id.empty() && (*it)->last_request() == request_id;
+        // attempt. The same holds for a health check after another one.
+        const bool is_ambiguous = (*it)->last_request() == request_id;
         if ((*it)->is_idle() && !is_ambiguous)
         {
             return *it;
--- a/tests/relay/test_replica_answers.cpp
+++ b/tests/relay/test_replica_answers.cpp
@@ -167,6 +167,37 @@
     }
 }
 
+// A late second answer to a rejected health check, which has no id, was taken
+// for the answer to the next request: it ran and was sent again.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_health_check_is_not_delivered)
+{
+    const std::string rejection = "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n";
+    exchange replica(
+        [&](std::size_t request)
+        {
+            return request == 1
+                       ? scripted_server::reply{{rejection}, ""}
+                       : scripted_server::reply{
+                             {rejection + answer_text("id-2", "new")}, ""};
+        });
+    BOOST_TEST((replica.send("").result == send_result::shed));
+    BOOST_TEST((replica.send("id-2").result == send_result::broken));
+    BOOST_TEST(replica.is_closed);
+}
+
+// Without the request's id, a later answer cannot be told from a copy.
+BOOST_AUTO_TEST_CASE(a_connection_without_ids_is_not_used_again)
+{
+    exchange replica(
+        [&](std::size_t)
+        {
+            return scripted_server::reply{{answer_text("", "first")}, ""};
+        });
+    BOOST_TEST((replica.send("id-1").result == send_result::answered));
+    BOOST_TEST(replica.is_closed);
+}
+
 BOOST_AUTO_TEST_CASE(a_copy_on_an_idle_connection_closes_it)
 {
     exchange replica(
