Relay command: catch signals before the settings are read

Cause: a SIGHUP within about 5 ms of the start ended the process, since signals were caught after the listeners were open. Change: they are caught first and handled after the start.

--- a/src/commands/relay.cpp
+++ b/src/commands/relay.cpp
@@ -116,14 +116,17 @@
 
 int relay(const arguments& args)
 {
+    // Caught before anything else: signals that arrive during the start are
+    // handled after it instead of ending the process.
+    boost::asio::io_context io{1};
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    std::signal(SIGPIPE, SIG_IGN);
     const auto path = settings_path(args);
     auto settings = platform::decode_settings(path);
     if (!settings)
     {
         return report(settings.error());
     }
-    std::signal(SIGPIPE, SIG_IGN);
-    boost::asio::io_context io{1};
     const auto node =
         adapters::relay::relay_node::create(io, std::move(*settings));
     const auto started = node->start();
@@ -132,7 +135,6 @@
         return report(started.error());
     }
     settings_watcher watch(io, path, *node);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     std::function<void()> wait_for_signal = [&]
     {
         signals.async_wait(
