Relay: hold back further attempts of a search that breaks off everywhere

Cause: each part that broke off was sent to the other replica at once. Change: once two parts, or a tenth of them, broke off and no replica has answered, further attempts of the request wait for the first answer; a lost zone delays them by one answer only. Tests: test_relay_crashes, two new cases; the suites of crashes, requests and replicas pass.

--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -469,8 +469,10 @@
         if (this->shows_completion(outcome.answer))
         {
             this->clear_crashes(part, attempt, outcome.answer.status);
+            this->has_answered_part = true;
         }
     }
+    this->broken_attempts += outcome.result == send_result::broken ? 1 : 0;
     if (outcome.result == send_result::broken && !this->is_answered(part))
     {
         this->on_unanswered(part, attempt, false);
@@ -489,6 +491,10 @@
     if (outcome.result == send_result::answered)
     {
         this->on_answered(index, attempt, outcome);
+        if (this->has_answered_part)
+        {
+            this->release_held_parts();
+        }
     }
     else
     {
@@ -506,10 +512,11 @@
                              ? attempt_reason::shed
                          : attempt.may_have_run ? attempt_reason::failed
                                                 : attempt_reason::not_sent;
+        auto& failed = this->parts[index];
         if (!(may_repeat && this->send_next_attempt(index, why)) &&
-            !this->is_pending(this->parts[index]))
+            !this->is_pending(failed) && !failed.is_held_back)
         {
-            this->parts[index].is_failed = true;
+            failed.is_failed = true;
         }
     }
     this->check_progress();
@@ -537,7 +544,7 @@
     const bool is_sent_again =
         this->matched_route->is_idempotent &&
         this->send_next_attempt(index, attempt_reason::failed);
-    if (!is_sent_again && !this->is_pending(part))
+    if (!is_sent_again && !this->is_pending(part) && !part.is_held_back)
     {
         part.is_failed = true;
     }
@@ -563,7 +570,7 @@
     for (const auto& part : this->parts)
     {
         answered += part.answer ? 1 : 0;
-        failed += !part.answer && part.is_failed ? 1 : 0;
+        failed += this->has_failed(part) ? 1 : 0;
     }
     const auto now = this->engine.runtime.now();
     if (!this->matched_route->is_search())
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -74,6 +74,7 @@
         bool has_earlier_crashes = false; ///< in the caller's earlier attempts
         bool is_withheld = false;         ///< for these crashes
         bool is_hedged = false;
+        bool is_held_back = false; ///< waits until another part is answered
         base::time_point hedge_at{};
         base::time_point answered_at{};
     };
@@ -122,6 +123,12 @@
     [[nodiscard]] std::size_t
     count_reachable(const std::vector<replica_ptr>& targets) const;
     bool send_next_attempt(std::size_t index, attempt_reason why);
+    /// Tells whether a search looks as if it crashed the replicas that run it:
+    /// several parts broke off and none has been answered.
+    [[nodiscard]] bool may_crash_replicas() const;
+    /// Makes the attempts that were held back, as a replica has answered.
+    void release_held_parts();
+    [[nodiscard]] bool has_failed(const part_state& part) const;
     [[nodiscard]] std::vector<replica_ptr>
     next_attempt_candidates(const part_state& part, attempt_reason why) const;
     void log_next_attempt(base::log_event event,
@@ -176,6 +183,8 @@
     bool is_finished = false;
     std::optional<base::fingerprint> known_fingerprint;
     bool is_dispatching = false;
+    bool has_answered_part = false;  ///< a replica ran a part to its end
+    std::size_t broken_attempts = 0; ///< that may have run
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -24,6 +24,12 @@
 /// a shorter delay lets callers resume sooner once the fault is fixed.
 constexpr std::chrono::seconds quarantine_retry_after{60};
 
+/// A search that breaks off at this many of its shards, or at this fraction of
+/// them, without an answer may crash its replicas. Single breaks are usual:
+/// replicas close idle connections.
+constexpr std::size_t min_broken_to_hold = 2;
+constexpr std::size_t broken_to_hold_divisor = 10;
+
 /// Bytes of a request's target in a log line.
 constexpr std::size_t max_logged_target = 128;
 
@@ -255,6 +261,12 @@
     {
         return false;
     }
+    if (this->may_crash_replicas())
+    {
+        // Another attempt might end the other replica of the shard too.
+        part.is_held_back = true;
+        return false;
+    }
     const auto target = this->engine.choose(
         this->next_attempt_candidates(part, why), this->hedge_delay());
     const bool is_hedge_to_suspect = why == attempt_reason::hedge &&
@@ -285,6 +297,49 @@
     return this->send(index, target, is_extra);
 }
 
+bool request_execution::may_crash_replicas() const
+{
+    const auto limit = std::max(min_broken_to_hold,
+                                this->parts.size() / broken_to_hold_divisor);
+    return this->matched_route->is_search() && !this->has_answered_part &&
+           this->broken_attempts >= limit;
+}
+
+void request_execution::release_held_parts()
+{
+    for (std::size_t i = 0; i < this->parts.size(); ++i)
+    {
+        auto& part = this->parts[i];
+        const bool is_due =
+            std::exchange(part.is_held_back, false) && !part.answer;
+        if (!is_due)
+        {
+            continue;
+        }
+        const auto why = this->is_pending(part) ? attempt_reason::hedge
+                                                : attempt_reason::failed;
+        if (!this->send_next_attempt(i, why) && !this->is_pending(part))
+        {
+            part.is_failed = true;
+        }
+    }
+}
+
+bool request_execution::has_failed(const part_state& part) const
+{
+    if (part.answer || part.is_failed)
+    {
+        return !part.answer;
+    }
+    // A part that is held back waits for the answer of any other part.
+    return part.is_held_back && std::none_of(this->parts.begin(),
+                                             this->parts.end(),
+                                             [this](const part_state& other)
+                                             {
+                                                 return this->is_pending(other);
+                                             });
+}
+
 void request_execution::log_next_attempt(base::log_event event,
                                          const part_state& part,
                                          const replica& target,
--- a/tests/relay/test_relay_crashes.cpp
+++ b/tests/relay/test_relay_crashes.cpp
@@ -86,6 +86,35 @@
     BOOST_TEST((fixture.run_request("other", "/l/y").code == result_code::ok));
 }
 
+// Guards against: the first search that crashes replicas ends both replicas of
+// nearly every shard, since broken parts are sent again at once.
+BOOST_AUTO_TEST_CASE(the_first_search_leaves_a_replica_of_each_shard)
+{
+    crashing_replicas fixture;
+    fixture.run_request("crash-1", "/s/x");
+    // 20 shards; one attempt more before the second part breaks off.
+    BOOST_TEST(fixture.crashes >= 20U);
+    BOOST_TEST(fixture.crashes <= 22U);
+}
+
+// Guards against: parts that break off as replicas of one zone end are not sent
+// to the other zone.
+BOOST_AUTO_TEST_CASE(a_search_is_completed_after_half_of_its_replicas_ended)
+{
+    relay_simulation simulation(
+        [](const relay::replica& replica, const std::string&)
+        {
+            return replica.record.id.ends_with("-a")
+                       ? scripted_reply{send_result::broken, 1ms}
+                       : scripted_reply{};
+        });
+    simulation.start("q", "/s/x", caller_timeout);
+    simulation.loop.run_for(1s);
+    const auto& answer = simulation.answers.at("q");
+    BOOST_TEST((answer.code == result_code::ok));
+    BOOST_TEST(answer.missing_shards == 0U);
+}
+
 // Guards against: a request counts as another one if its host is spelled
 // differently, although its route is the same.
 BOOST_AUTO_TEST_CASE(a_host_in_another_spelling_is_the_same_request)
