Relay: serve only organisations with a known API key

Cause: the configuration may list organisations (`tenants`) with API keys. The relay forwarded every request, with the client's Authorization and X-Tenant-Id.

Identity fields are kept apart from the forwarded fields, and several Authorization fields are joined, so that none of them matches. The crash fingerprint uses the organisation's name instead of the key. Without `tenants` both fields pass as before.

--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -215,6 +215,13 @@
                     {{"version", std::to_string(config->version)},
                      {"revision", std::to_string(item.revision)},
                      {"routes", std::to_string(config->routes.size())}});
+    if (const auto& directory = config->organisations)
+    {
+        this->log.write(log_event::organisations_in_force,
+                        {{"version", std::to_string(config->version)},
+                         {"organisations", std::to_string(directory->size())},
+                         {"keys", std::to_string(directory->key_count())}});
+    }
 }
 
 void store_change_handler::on_replica(const std::string& id,
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -110,6 +110,7 @@
     send_unanswered = 1063,
     quarantine_ignored = 1064,
     handler_failed = 1065,
+    organisations_in_force = 1070,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/configuration.hpp
+++ b/src/core/relay/configuration.hpp
@@ -7,10 +7,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <core/relay/organisation.hpp>
+
 namespace hawthornrelay::core::relay
 {
 
@@ -28,6 +31,7 @@
     std::string host;   ///< lower case, without a port
     std::string prefix; ///< begins and ends with a slash
     bool is_idempotent = false;
+    bool is_public = false; ///< needs no API key
     std::chrono::milliseconds timeout{0};
     std::chrono::milliseconds latency_objective{0};
     unsigned priority = 0; ///< 0 is the highest
@@ -74,6 +78,8 @@
     std::vector<route> routes;
     std::map<std::string, service_settings, std::less<>> services;
     caller_limits limits;
+    /// Without a value, requests need no API key.
+    std::optional<organisation_directory> organisations;
 };
 
 /// @brief A configuration, shared by the requests that started under it.
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -49,6 +49,11 @@
     std::chrono::seconds extra_window{10};
     double cold_overshoot = 1.5;
     double cold_slack = 5;
+    /// An organisation gets in any span of this length, over all nodes, at most
+    /// its quota x (1 + overshoot) + slack.
+    std::chrono::milliseconds quota_window{5000};
+    double quota_overshoot = 0.1;
+    double quota_slack = 20;
     std::chrono::milliseconds min_lease{1000};
     /// A replica's registration ends after three of these without a renewal.
     std::chrono::milliseconds heartbeat_interval{1200};
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -35,14 +35,23 @@
     /// sends per second.
     double cold_overshoot = 1.5;
     double cold_slack = 5;
+    /// An organisation gets in any span of this length, over all nodes, at most
+    /// its quota x (1 + overshoot) + slack.
+    std::chrono::milliseconds quota_window{5000};
+    double quota_overshoot = 0.1;
+    double quota_slack = 20;
 };
 
 /// @brief A caller's request and its timing.
 struct caller_request
 {
-    std::shared_ptr<const ports::forwarded_request> message;
-    std::string caller_address;  ///< IP address, for the log
-    std::string credentials;     ///< of the caller; empty if it sent none
+    /// Changed by the engine until the request is first sent.
+    std::shared_ptr<ports::forwarded_request> message;
+    std::string caller_address; ///< IP address, for the log
+    /// Value of the Authorization field; several values separated by ", ";
+    /// empty if there is none. Where organisations are configured, the engine
+    /// replaces it by the organisation's name.
+    std::string credentials;
     base::duration time_left{};  ///< until the caller's deadline
     base::duration round_trip{}; ///< network round trip to the caller
 };
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -101,6 +101,8 @@
     {
         return;
     }
+    // The caller's organisation is known and nothing has been sent: its quota
+    // is applied here.
     this->compute_deadlines();
     this->silence_check_at = this->started + silence_check_delay;
     this->is_dispatching = true;
@@ -253,6 +255,10 @@
         this->fail(result_code::no_such_path, "no route for this path");
         return false;
     }
+    if (this->config->organisations && this->refuse_if_unidentified())
+    {
+        return false;
+    }
     if (this->matched_route->is_search())
     {
         for (const auto& shard : this->matched_route->shards)
@@ -271,6 +277,34 @@
     return true;
 }
 
+bool request_execution::refuse_if_unidentified()
+{
+    auto& message = *this->request.message;
+    message.identity_fields.clear();
+    const auto credentials = std::exchange(this->request.credentials, {});
+    if (this->matched_route->is_public)
+    {
+        return false;
+    }
+    this->caller = this->config->organisations->find(credentials);
+    if (this->caller == nullptr)
+    {
+        this->engine.counters.add(relay_counter::unknown_credentials);
+        this->fail(result_code::unknown_credentials, "unknown or missing key");
+        return true;
+    }
+    message.organisation = this->caller->name;
+    this->request.credentials = this->caller->name;
+    return false;
+}
+
+unsigned request_execution::priority() const
+{
+    const auto own =
+        this->caller == nullptr ? std::nullopt : this->caller->priority;
+    return own.value_or(this->matched_route->priority);
+}
+
 void request_execution::compute_deadlines()
 {
     const duration timeout = this->matched_route->timeout;
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -88,6 +88,11 @@
     };
 
     bool select_route();
+    /// Finds the caller's organisation and prepares the fields that replicas
+    /// get. Fails the request and returns true if it needs a known key.
+    bool refuse_if_unidentified();
+    /// The priority of the request, 0 is the highest.
+    [[nodiscard]] unsigned priority() const;
     /// Fails the request and returns true if the process may end before it.
     bool refuse_if_closing();
     /// Withholds the parts whose replicas crashed in the caller's earlier
@@ -166,6 +171,9 @@
     request_engine::answer_handler done;
     configuration_ptr config;
     const route* matched_route = nullptr;
+    /// Part of `config`; nullptr on public routes and where no organisations
+    /// are configured.
+    const organisation* caller = nullptr;
     std::vector<part_state> parts;
     base::time_point started{};
     base::time_point partial_answer_at{};
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -28,7 +28,11 @@
     std::string method;
     std::string target;
     std::string host;
-    field_list fields; ///< end-to-end fields only
+    field_list fields; ///< end-to-end fields only, without identity_fields
+    /// Fields in which the client says who it is. They are forwarded only where
+    /// no organisations are configured.
+    field_list identity_fields;
+    std::string organisation; ///< told to the replica; empty if unknown
     std::string body;
 };
 
--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -42,6 +42,16 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
+std::string configuration(const std::string& tenants,
+                          const std::string& is_public = "true")
+{
+    return R"({"version":1,"services":[],"limits":{"maxHeaderBytes":1,
+        "maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1},"routes":[
+        {"name":"n","host":"h","prefix":"/","type":"idempotent","timeoutMs":1,
+        "targetLatencyMs":1,"service":"s","public":)" +
+           is_public + R"(}],"tenants":)" + tenants + "}";
+}
+
 ports::send_outcome answer_with(const std::string& field,
                                 const std::string& value)
 {
@@ -172,3 +182,87 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(organisations)
+
+BOOST_AUTO_TEST_CASE(organisations_and_public_routes_are_read)
+{
+    const auto config = platform::decode_configuration(configuration(
+        R"([{"name":"a","apiKeys":["k1","k2","k2"],"priority":3,"ratePerS":4.5,
+             "burst":9},{"name":"b","apiKeys":[]}])"));
+    BOOST_TEST_REQUIRE(config.has_value());
+    BOOST_TEST(config->routes.front().is_public);
+    const auto& directory = *config->organisations;
+    BOOST_TEST(directory.size() == 2U);
+    const auto* found = directory.find("Bearer k2");
+    BOOST_TEST_REQUIRE(found != nullptr);
+    BOOST_TEST(found->name == "a");
+    BOOST_TEST(*found->priority == 3U);
+    BOOST_TEST(found->rate_per_second == 4.5);
+    BOOST_TEST(found->burst == 9);
+    // An empty list does not open the routes.
+    BOOST_TEST(platform::decode_configuration(configuration("[]"))
+                   ->organisations.has_value());
+}
+
+// Guards against: credentials in another form than one Bearer key pass.
+BOOST_AUTO_TEST_CASE(only_a_bearer_key_is_found)
+{
+    const auto config = platform::decode_configuration(
+        configuration(R"([{"name":"a","apiKeys":["k","k,"]}])"));
+    const auto& directory = *config->organisations;
+    for (const std::string text : {"Bearer k", "bEARER k", "Bearer  k"})
+    {
+        BOOST_TEST(directory.find(text) != nullptr, text);
+    }
+    for (const std::string text : {"",
+                                   "k",
+                                   "Bearer",
+                                   "Bearer ",
+                                   "Bearerk",
+                                   "Bearer\tk",
+                                   "Basic k",
+                                   "Bearer K",
+                                   "Bearer k k",
+                                   "Bearer k, Bearer k",
+                                   "Bearer k, ",
+                                   ", Bearer k"})
+    {
+        BOOST_TEST(directory.find(text) == nullptr, text);
+    }
+}
+
+// Guards against: a malformed list opens routes, or a key names two callers.
+BOOST_AUTO_TEST_CASE(malformed_organisations_are_refused_without_their_keys)
+{
+    for (
+        const std::string tenants :
+        {R"(null)",
+         R"({})",
+         R"(["secret"])",
+         R"([{"name":"a"}])",
+         R"([{"apiKeys":["secret"]}])",
+         R"([{"name":4,"apiKeys":["secret"]}])",
+         R"([{"name":"","apiKeys":["secret"]}])",
+         R"([{"name":"a ","apiKeys":["secret"]}])",
+         R"([{"name":"a\r\nX-Other: 1","apiKeys":["secret"]}])",
+         R"([{"name":"a","apiKeys":"secret"}])",
+         R"([{"name":"a","apiKeys":["secret",4]}])",
+         R"([{"name":"a","apiKeys":[""]}])",
+         R"([{"name":"a","apiKeys":["secret secret"]}])",
+         R"([{"name":"a","apiKeys":["secret"],"priority":-1}])",
+         R"([{"name":"a","apiKeys":["secret"],"priority":"secret"}])",
+         R"([{"name":"a","apiKeys":["secret"],"ratePerS":-1}])",
+         R"([{"name":"a","apiKeys":["secret"],"burst":null}])",
+         R"([{"name":"a","apiKeys":["secret"]},{"name":"b","apiKeys":["secret"]}])",
+         R"([{"name":"a","apiKeys":["secret"]},{"name":"a","apiKeys":["k"]}])"})
+    {
+        const auto config =
+            platform::decode_configuration(configuration(tenants));
+        BOOST_TEST_REQUIRE(!config.has_value(), tenants);
+        BOOST_TEST(config.error().detail.find("secret") == std::string::npos);
+    }
+    BOOST_TEST(!platform::decode_configuration(configuration("[]", "1")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
