Relay: roll out versions under a decider, with a bound for bad ones

An order under op/rollout/ had no effect: all versions of a service got its requests.

Change: rollout_share admits sends to a version, rollout_judge compares the versions by route, zone and replica, rollout_control is the state machine of one order, rollout_manager holds the decider's lease and writes the status by transactions. The store stand-in honours `expected`.

--- a/src/adapters/relay/beacon_socket.cpp
+++ b/src/adapters/relay/beacon_socket.cpp
@@ -32,6 +32,47 @@
             ms.count(), 0, std::numeric_limits<std::int32_t>::max()));
 }
 
+core::relay::rollout_message read_rollouts(const schemas::Beacon& message)
+{
+    core::relay::rollout_message result;
+    if (const auto* grants = message.rollout_grants(); grants != nullptr)
+    {
+        for (const auto* grant : *grants)
+        {
+            // An unknown stage of a later version gives no permission.
+            const auto stage =
+                grant->stage() <=
+                        static_cast<unsigned>(core::relay::rollout_stage::shift)
+                    ? static_cast<core::relay::rollout_stage>(grant->stage())
+                    : core::relay::rollout_stage::hold;
+            result.grants.push_back(
+                {grant->service(),
+                 grant->order(),
+                 grant->term(),
+                 stage,
+                 std::chrono::milliseconds(grant->age_ms()),
+                 std::chrono::milliseconds(grant->order_age_ms()),
+                 grant->pending()});
+        }
+    }
+    if (const auto* counts = message.rollout_counts(); counts != nullptr)
+    {
+        for (const auto* count : *counts)
+        {
+            result.counts.push_back({count->service(),
+                                     count->order(),
+                                     count->route(),
+                                     count->zone(),
+                                     count->replica(),
+                                     count->responses(),
+                                     count->failed(),
+                                     count->timed(),
+                                     count->slow()});
+        }
+    }
+    return result;
+}
+
 core::base::result<udp::endpoint> parse_udp_endpoint(const std::string& address)
 {
     return asio::parse_endpoint(address).map(
@@ -93,6 +134,30 @@
     {
         crashes.emplace_back(crash.request, crash.crash, to_age_ms(crash.age));
     }
+    std::vector<schemas::RolloutGrant> grants;
+    for (const auto& grant : self.rollouts.grants)
+    {
+        grants.emplace_back(grant.service,
+                            grant.order,
+                            grant.term,
+                            static_cast<std::uint32_t>(grant.stage),
+                            to_age_ms(grant.age),
+                            to_age_ms(grant.order_age),
+                            grant.pending);
+    }
+    std::vector<schemas::RolloutCount> counts;
+    for (const auto& count : self.rollouts.counts)
+    {
+        counts.emplace_back(count.service,
+                            count.order,
+                            count.route,
+                            count.zone,
+                            count.replica,
+                            count.responses,
+                            count.failed,
+                            count.timed,
+                            count.slow);
+    }
     builder.Finish(schemas::CreateBeaconDirect(builder,
                                                self.name.c_str(),
                                                self.incarnation,
@@ -109,7 +174,9 @@
                                                self.referral.c_str(),
                                                &silent,
                                                self.is_cut_off,
-                                               &crashes));
+                                               &crashes,
+                                               &grants,
+                                               &counts));
     boost::system::error_code ignored;
     this->socket.send_to(
         boost::asio::buffer(builder.GetBufferPointer(), builder.GetSize()),
@@ -177,6 +244,7 @@
                  std::chrono::milliseconds(crash->age_ms())});
         }
     }
+    record.rollouts = read_rollouts(*message);
     if (!record.name.empty())
     {
         this->on_record(record);
--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -30,6 +30,10 @@
 constexpr std::chrono::milliseconds seed_wait_at_first_start{1000};
 constexpr std::chrono::milliseconds seed_wait{30};
 
+/// Grants and counts of roll-outs in one datagram of at most 1,500 bytes. Each
+/// takes 48 bytes or less, and the record of the node up to 400.
+constexpr std::size_t max_rollout_rows = 20;
+
 /// Interval of beacons to the seeds while the mirror is empty.
 constexpr std::chrono::milliseconds seed_interval{15};
 
@@ -143,6 +147,7 @@
         this->deps.log.write(log_event::node_heard, {{"peer", record.name}});
     }
     this->deps.on_crashes(record.crashes);
+    this->deps.on_rollouts(record);
     if (record.wants_reply)
     {
         this->update_self();
@@ -157,6 +162,7 @@
             reply.referral = this->nodes.referral_for(record, now);
         }
         this->beacons.send(record.peers, reply);
+        this->send_rollouts({record.peers});
     }
     // An incomplete mirror is filled from any ready node, even if calls of the
     // store have not failed yet.
@@ -301,6 +307,45 @@
     {
         this->beacons.send(address, message);
     }
+    this->send_rollouts(addresses);
+}
+
+void membership::send_rollouts(const std::set<std::string>& addresses)
+{
+    const auto all = this->deps.rollouts_to_report();
+    auto message = this->nodes.self();
+    message.wants_reply = false;
+    message.crashes.clear();
+    message.silent_entries.clear();
+    const auto send_filled = [&]
+    {
+        for (const auto& address : addresses)
+        {
+            this->beacons.send(address, message);
+        }
+        message.rollouts = {};
+    };
+    for (const auto& grant : all.grants)
+    {
+        message.rollouts.grants.push_back(grant);
+        if (message.rollouts.grants.size() == max_rollout_rows)
+        {
+            send_filled();
+        }
+    }
+    for (const auto& count : all.counts)
+    {
+        message.rollouts.counts.push_back(count);
+        if (message.rollouts.grants.size() + message.rollouts.counts.size() ==
+            max_rollout_rows)
+        {
+            send_filled();
+        }
+    }
+    if (!message.rollouts.grants.empty() || !message.rollouts.counts.empty())
+    {
+        send_filled();
+    }
 }
 
 void membership::stop()
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
             crashes_to_report;
         std::function<void(const std::vector<core::relay::crash_report>&)>
             on_crashes;
+        /// Roll-outs in progress, to send to other nodes, and those received.
+        std::function<core::relay::rollout_message()> rollouts_to_report;
+        std::function<void(const core::relay::node_record&)> on_rollouts;
         /// Called when calls of the store begin to fail.
         std::function<void()> on_store_lost;
     };
@@ -95,6 +99,8 @@
     void update_self();
     void update_role();
     void send_beacons();
+    /// Sends what other nodes need for the roll-outs in progress.
+    void send_rollouts(const std::set<std::string>& addresses);
     void on_record(const core::relay::node_record& record);
     void on_store_status(bool is_reachable, const std::string& reason);
 
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -16,9 +16,11 @@
 #include <core/relay/entry_choice.hpp>
 #include <core/relay/quarantine_writer.hpp>
 #include <core/relay/request_engine.hpp>
+#include <core/relay/rollout_manager.hpp>
 #include <core/relay/store_follower.hpp>
 #include <core/relay/store_mirror.hpp>
 #include <platform/caller_wire.hpp>
+#include <platform/decode.hpp>
 #include <platform/names.hpp>
 #include <platform/store_client.hpp>
 
@@ -92,6 +94,15 @@
                      this->store,
                      this->log,
                      std::string(platform::names::quarantine_prefix)),
+          rollouts(this->runtime,
+                   this->store,
+                   this->log,
+                   this->engine.registry,
+                   this->engine.counters,
+                   this->settings.node_name,
+                   {std::string(platform::names::rollout_decider_key),
+                    std::string(platform::names::rollout_status_prefix),
+                    platform::encode_rollout_status}),
           mirror(this->log,
                  [this](const ports::store_item& item)
                  {
@@ -132,6 +143,17 @@
                {
                    this->engine.merge_crashes(reports);
                },
+               .rollouts_to_report =
+                   [this]
+               {
+                   return this->advance_rollouts();
+               },
+               .on_rollouts =
+                   [this](const core::relay::node_record& record)
+               {
+                   this->rollouts.on_message(
+                       record.name, record.incarnation, record.rollouts);
+               },
                .on_store_lost =
                    [this]
                {
@@ -171,6 +193,10 @@
                 this->quarantine.write(refused);
             }
         };
+        this->engine.rollouts = &this->rollouts;
+        this->change_handler.rollouts = &this->rollouts;
+        this->rollouts.set_bounds(this->settings.rollouts,
+                                  this->settings.min_lease);
         this->engine.rank_among_entries = [this](const std::string& replica)
         {
             return this->members.nodes.rank_among_entries(replica,
@@ -205,6 +231,8 @@
     void on_item(const ports::store_item& item);
     void on_limits(const core::relay::caller_limits& changed);
     void update_bounds();
+    /// Advances the roll-outs and returns what other nodes need of them.
+    core::relay::rollout_message advance_rollouts();
     void maintain();
     void maintain_connections();
     void update_cut_off(std::size_t remote_count,
@@ -230,6 +258,7 @@
     core::relay::request_engine engine;
     platform::store_client store;
     core::relay::quarantine_writer quarantine;
+    core::relay::rollout_manager rollouts;
     core::relay::store_mirror mirror;
     peer_feed feed;
     core::relay::store_follower follower;
@@ -413,6 +442,28 @@
         this->engine.configuration_in_force(), count, is_entry);
 }
 
+core::relay::rollout_message node::advance_rollouts()
+{
+    if (this->rollouts.is_idle())
+    {
+        return {};
+    }
+    const auto now = this->runtime.now();
+    auto& nodes = this->members.nodes;
+    std::set<std::string> others;
+    for (const auto& entry : nodes.running_entries(now))
+    {
+        others.insert(entry.name);
+    }
+    this->rollouts.set_fleet(
+        nodes.self().is_entry,
+        nodes.rank_among_entries(
+            std::string(platform::names::rollout_decider_key), now),
+        std::move(others));
+    this->rollouts.tick();
+    return this->rollouts.message_to_send();
+}
+
 void node::maintain()
 {
     this->engine.record_running();
@@ -608,6 +659,7 @@
     this->settings.stop_grace = changed.stop_grace;
     this->settings.max_address_ttl = changed.max_address_ttl;
     this->engine.set_bounds(to_engine_settings(changed));
+    this->rollouts.set_bounds(changed.rollouts, changed.min_lease);
     this->members.set_seeds(changed.seeds);
     this->log.write(log_event::settings_reloaded,
                     {{"extra_ratio", std::to_string(changed.extra_ratio)},
--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -146,6 +146,73 @@
     {
         this->on_quarantine(*text, item);
     }
+    else if (this->rollouts != nullptr)
+    {
+        this->dispatch_rollout(item);
+    }
+}
+
+void store_change_handler::dispatch_rollout(const ports::store_item& item)
+{
+    if (item.key == names::rollout_decider_key)
+    {
+        this->rollouts->on_decider(item.is_removed ? std::string()
+                                                   : item.value);
+    }
+    else if (const auto ordered =
+                 strip_prefix(item.key, names::rollout_order_prefix))
+    {
+        this->on_rollout_order(*ordered, item);
+    }
+    else if (const auto service =
+                 strip_prefix(item.key, names::rollout_status_prefix))
+    {
+        this->on_rollout_status(*service, item);
+    }
+}
+
+void store_change_handler::on_rollout_order(const std::string& service,
+                                            const ports::store_item& item)
+{
+    if (item.is_removed)
+    {
+        if (item.is_restored)
+        {
+            // The copy may have been made before the order.
+            this->defer(item);
+            return;
+        }
+        this->rollouts->on_order(service, std::nullopt);
+        return;
+    }
+    auto order = platform::decode_rollout_order(service, item.value);
+    if (!order)
+    {
+        this->log.write(log_event::rollout_unreadable,
+                        {{"key", item.key}, {"error", order.error().detail}});
+        return;
+    }
+    order->revision = item.revision;
+    this->rollouts->on_order(service, std::move(*order));
+}
+
+void store_change_handler::on_rollout_status(const std::string& service,
+                                             const ports::store_item& item)
+{
+    if (item.is_removed)
+    {
+        this->rollouts->on_status(service, std::nullopt, item.is_restored);
+        return;
+    }
+    auto status = platform::decode_rollout_status(item.value);
+    if (!status)
+    {
+        this->log.write(log_event::rollout_unreadable,
+                        {{"key", item.key}, {"error", status.error().detail}});
+        return;
+    }
+    status->revision = item.revision;
+    this->rollouts->on_status(service, std::move(*status), item.is_restored);
 }
 
 void store_change_handler::on_zone(const std::string& zone,
--- a/src/adapters/relay/store_change_handler.hpp
+++ b/src/adapters/relay/store_change_handler.hpp
@@ -9,6 +9,7 @@
 
 #include <core/relay/node_directory.hpp>
 #include <core/relay/request_engine.hpp>
+#include <core/relay/rollout_manager.hpp>
 #include <ports/event_log.hpp>
 #include <ports/metadata_store.hpp>
 #include <ports/runtime.hpp>
@@ -49,6 +50,9 @@
     ///        regularly.
     void apply_due();
 
+    /// @brief Follows the roll-outs; nullptr if they are not to be followed.
+    core::relay::rollout_manager* rollouts = nullptr;
+
     /// @brief Called for a refusal that is in force but was lost by the store.
     std::function<void(core::base::fingerprint)> on_refusal_lost;
 
@@ -60,12 +64,17 @@
     };
 
     void dispatch(const ports::store_item& item);
+    void dispatch_rollout(const ports::store_item& item);
     void defer(const ports::store_item& item);
     void on_configuration(const ports::store_item& item);
     void on_zone(const std::string& zone, const ports::store_item& item);
     void on_replica(const std::string& id, const ports::store_item& item);
     void on_node(const std::string& name, const ports::store_item& item);
     void on_quarantine(const std::string& text, const ports::store_item& item);
+    void on_rollout_order(const std::string& service,
+                          const ports::store_item& item);
+    void on_rollout_status(const std::string& service,
+                           const ports::store_item& item);
 
     ports::runtime& runtime;
     core::relay::request_engine& engine;
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -128,6 +128,24 @@
     event_row{
         log_event::quarantine_ignored, "quarantine_ignored", log_level::info},
     event_row{log_event::handler_failed, "handler_failed", log_level::error},
+    event_row{log_event::rollout_ordered, "rollout_ordered", log_level::info},
+    event_row{
+        log_event::rollout_withdrawn, "rollout_withdrawn", log_level::info},
+    event_row{log_event::rollout_status_known,
+              "rollout_status_known",
+              log_level::info},
+    event_row{log_event::rollout_decider_began,
+              "rollout_decider_began",
+              log_level::info},
+    event_row{log_event::rollout_decider_ended,
+              "rollout_decider_ended",
+              log_level::info},
+    event_row{
+        log_event::rollout_rejected, "rollout_rejected", log_level::warning},
+    event_row{log_event::rollout_written, "rollout_written", log_level::info},
+    event_row{log_event::rollout_unreadable,
+              "rollout_unreadable",
+              log_level::warning},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -110,6 +110,15 @@
     send_unanswered = 1063,
     quarantine_ignored = 1064,
     handler_failed = 1065,
+
+    rollout_ordered = 1085,
+    rollout_withdrawn = 1086,
+    rollout_status_known = 1087,
+    rollout_decider_began = 1088,
+    rollout_decider_ended = 1089,
+    rollout_rejected = 1090,
+    rollout_written = 1091,
+    rollout_unreadable = 1092,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/node_record.hpp
+++ b/src/core/relay/node_record.hpp
@@ -8,6 +8,7 @@
 
 #include <core/base/time.hpp>
 #include <core/relay/crash_tracker.hpp>
+#include <core/relay/rollout.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -32,6 +33,7 @@
     std::vector<std::string> silent_entries;
     /// Crashes detected by this node or reported to it.
     std::vector<crash_report> crashes;
+    rollout_message rollouts; ///< roll-outs in progress, as this node sees them
     base::duration store_age{}; ///< age of its copy of the store
 };
 
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <core/relay/rollout_control.hpp>
+
 namespace hawthornrelay::core::relay
 {
 
@@ -49,6 +51,7 @@
     std::chrono::seconds extra_window{10};
     double cold_overshoot = 1.5;
     double cold_slack = 5;
+    rollout_bounds rollouts;
     std::chrono::milliseconds min_lease{1000};
     /// A replica's registration ends after three of these without a renewal.
     std::chrono::milliseconds heartbeat_interval{1200};
--- a/src/core/relay/replica.hpp
+++ b/src/core/relay/replica.hpp
@@ -16,6 +16,7 @@
     std::string service;
     std::string address; ///< `ip:port`
     std::string zone;
+    std::string version; ///< of its program
     unsigned slots = 1; ///< maximum concurrent requests
     bool is_draining = false;
     std::chrono::milliseconds warm_up_left{0};
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -167,6 +167,19 @@
     return shortest;
 }
 
+bool replica_registry::has_other_version(const std::string& service,
+                                         const std::string& version) const
+{
+    const auto found = this->by_service.find(service);
+    return found != this->by_service.end() &&
+           std::any_of(found->second.begin(),
+                       found->second.end(),
+                       [&](const replica_ptr& item)
+                       {
+                           return item->record.version != version;
+                       });
+}
+
 void replica_registry::drop(const std::string& id)
 {
     this->pending_removals.erase(id);
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -81,6 +81,10 @@
     [[nodiscard]] std::optional<base::duration>
     shortest_back_off(const std::string& service, base::time_point now) const;
 
+    /// @brief Whether a service has a registered replica of another version.
+    [[nodiscard]] bool has_other_version(const std::string& service,
+                                         const std::string& version) const;
+
     /// @brief All known replicas by id, including those in their grace period.
     [[nodiscard]] const std::map<std::string, replica_ptr>& all() const
     {
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <core/relay/request_execution.hpp>
+#include <core/relay/rollout_manager.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -203,6 +204,42 @@
     return nullptr;
 }
 
+replica_ptr
+request_engine::choose_version(const std::string& service,
+                               const std::vector<replica_ptr>& candidates,
+                               bool is_repeated,
+                               duration stall_threshold)
+{
+    const bool has_rollout = this->rollouts != nullptr &&
+                             this->rollouts->share_of(service) != nullptr;
+    if (!has_rollout)
+    {
+        return this->choose(candidates, stall_threshold);
+    }
+    const auto versions =
+        this->rollouts->split(service, candidates, is_repeated);
+    const auto preferred = this->choose(versions.preferred, stall_threshold);
+    return preferred != nullptr
+               ? preferred
+               : this->choose(versions.fallback, stall_threshold);
+}
+
+std::uint64_t request_engine::count_send(const replica& target)
+{
+    auto* share = this->rollouts == nullptr
+                      ? nullptr
+                      : this->rollouts->share_of(target.record.service);
+    if (share == nullptr || !share->order())
+    {
+        return 0;
+    }
+    if (share->order()->target_version == target.record.version)
+    {
+        this->counters.add(relay_counter::target_version_sends);
+    }
+    return share->on_sent(target.record);
+}
+
 double request_engine::cold_rate(const replica& target) const
 {
     if (this->config == nullptr)
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -25,6 +25,8 @@
 namespace hawthornrelay::core::relay
 {
 
+class rollout_manager;
+
 /// @brief Site-specific settings of a request engine.
 struct engine_settings
 {
@@ -161,6 +163,9 @@
         return this->active_requests.size();
     }
 
+    /// @brief The roll-outs in progress; may be nullptr.
+    rollout_manager* rollouts = nullptr;
+
     replica_registry registry;
     relay_counters counters;
 
@@ -175,6 +180,16 @@
     ///         nullptr
     replica_ptr choose(const std::vector<replica_ptr>& candidates,
                        base::duration stall_threshold);
+    /// @brief Chooses a replica of a version that may get the send.
+    /// @param candidates usable replicas of the service
+    /// @param is_repeated whether the part has been sent before
+    replica_ptr choose_version(const std::string& service,
+                               const std::vector<replica_ptr>& candidates,
+                               bool is_repeated,
+                               base::duration stall_threshold);
+    /// Counts a send during a roll-out.
+    /// @return the order that it counts for, 0 for none
+    std::uint64_t count_send(const replica& target);
     void detect_process_pause();
     /// Checks whether a replica has ended that left a send without an answer.
     void on_unanswered(const replica_ptr& target, unanswered_send send);
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <core/base/hash.hpp>
+#include <core/relay/rollout_manager.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -152,7 +153,8 @@
             part.is_withheld
                 ? std::vector<replica_ptr>()
                 : this->engine.registry.usable(part.service, this->started);
-        targets.push_back(this->engine.choose(usable, this->hedge_delay()));
+        targets.push_back(this->engine.choose_version(
+            part.service, usable, false, this->hedge_delay()));
         part.is_failed = true;
     }
     this->log_start(targets);
@@ -329,6 +331,7 @@
     attempt.sent_at = now;
     attempt.is_extra = is_extra;
     attempt.is_to_suspect = target->health.is_suspect();
+    attempt.rollout_order = this->engine.count_send(*target);
     this->engine.counters.add(relay_counter::sends);
     attempt.send = this->engine.transport.send(
         target,
@@ -379,6 +382,26 @@
     }
 }
 
+void request_execution::count_for_rollout(const attempt_state& attempt,
+                                          bool is_response,
+                                          bool is_failed)
+{
+    if (attempt.rollout_order == 0)
+    {
+        return;
+    }
+    const auto& record = attempt.target->record;
+    if (auto* share = this->engine.rollouts->share_of(record.service))
+    {
+        share->on_settled(attempt.rollout_order,
+                          record,
+                          this->matched_route->name,
+                          is_response,
+                          is_failed,
+                          this->engine.runtime.now() - attempt.sent_at);
+    }
+}
+
 bool request_execution::is_usable(const ports::replica_answer& answer) const
 {
     return answer.status >= 200 && answer.status < 300 &&
@@ -436,6 +459,10 @@
         static_cast<double>(elapsed.count()) /
         std::max(1.0, static_cast<double>(mean_latency.count()));
     this->settle(attempt, outcome.result, latency_ratio);
+    this->count_for_rollout(attempt,
+                            outcome.result == send_result::answered ||
+                                outcome.result == send_result::broken,
+                            !this->shows_completion(outcome.answer));
     if (outcome.utilization)
     {
         attempt.target->health.on_load(*outcome.utilization, now);
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -55,6 +55,7 @@
     struct attempt_state
     {
         std::uint64_t send = 0;
+        std::uint64_t rollout_order = 0; ///< that the send counts for
         replica_ptr target;
         base::time_point sent_at{};
         bool is_extra = false;
@@ -137,6 +138,10 @@
                      const ports::send_outcome& outcome);
     void
     settle(attempt_state& attempt, send_result result, double latency_ratio);
+    /// Counts the response to an attempt for a roll-out of its service.
+    void count_for_rollout(const attempt_state& attempt,
+                           bool is_response,
+                           bool is_failed);
     [[nodiscard]] bool is_usable(const ports::replica_answer& answer) const;
     /// Tells whether the replica ran the request to its end. A server error may
     /// come before the request has any effect on the replica.
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -255,8 +255,11 @@
     {
         return false;
     }
-    const auto target = this->engine.choose(
-        this->next_attempt_candidates(part, why), this->hedge_delay());
+    const auto target =
+        this->engine.choose_version(part.service,
+                                    this->next_attempt_candidates(part, why),
+                                    true,
+                                    this->hedge_delay());
     const bool is_hedge_to_suspect = why == attempt_reason::hedge &&
                                      target != nullptr &&
                                      target->health.is_suspect();
--- a/src/core/relay/request_execution_finish.cpp
+++ b/src/core/relay/request_execution_finish.cpp
@@ -95,6 +95,7 @@
 {
     this->engine.transport.cancel(attempt.send);
     this->settle(attempt, send_result::abandoned, 1.0);
+    this->count_for_rollout(attempt, false, false);
     if (this->is_answered(part))
     {
         return;
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -59,6 +59,29 @@
     store_era era{};
 };
 
+/// @brief A key that must have a revision for a transaction to be applied.
+struct store_expectation
+{
+    std::string key;
+    std::uint64_t revision = 0; ///< 0: the key must not exist
+};
+
+/// @brief A key that a transaction writes.
+struct store_put
+{
+    std::string key;
+    std::string value;
+    lease_id lease = 0;
+};
+
+/// @brief Writes that are applied together if all expectations hold.
+struct store_transaction
+{
+    std::vector<store_expectation> expected;
+    std::vector<store_put> puts;
+    std::vector<std::string> removals;
+};
+
 /// @brief Receives the outcome of one call.
 template <typename T>
 using store_handler = std::function<void(core::base::result<T>)>;
@@ -94,7 +117,8 @@
 /// @brief Reads and writes the store itself.
 ///
 /// Further errors: platform_answer_lost (a write may have been applied),
-/// no_such_item (the lease has ended).
+/// no_such_item (the lease has ended), revision_conflict (an expectation of a
+/// transaction does not hold; nothing was written).
 class metadata_store : public metadata_reader
 {
   public:
@@ -105,6 +129,11 @@
                      lease_id lease,
                      store_handler<std::uint64_t> done) = 0;
 
+    /// @brief Applies a transaction.
+    /// @param done receives the revision of the writes, or revision_conflict
+    virtual void transact(const store_transaction& transaction,
+                          store_handler<std::uint64_t> done) = 0;
+
     /// @brief Creates a lease.
     /// @param time_to_live the lease ends after this time without a renewal
     /// @param done receives the lease
--- a/tests/relay/test_quarantine_writer.cpp
+++ b/tests/relay/test_quarantine_writer.cpp
@@ -46,6 +46,11 @@
         }
     }
 
+    void transact(const ports::store_transaction&,
+                  ports::store_handler<std::uint64_t>) override
+    {
+    }
+
     void create_lease(std::chrono::milliseconds time_to_live,
                       ports::store_handler<ports::lease_id> done) override
     {
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -179,11 +179,14 @@
 
     /// Starts a replica that answers requests after `work_time` and health
     /// checks at once, and registers it.
-    void add_replica(const std::string& id, std::chrono::milliseconds work_time)
+    void add_replica(const std::string& id,
+                     std::chrono::milliseconds work_time,
+                     const std::string& version = "v1",
+                     bool is_failing = false)
     {
         adapters::http::server_handlers handlers;
-        handlers.on_request =
-            [this, id, work_time](const request& message,
+        handlers.on_request = [this, id, work_time, version, is_failing](
+                                  const request& message,
                                   const adapters::http::responder& respond)
         {
             if (message.target == "/healthz")
@@ -192,12 +195,14 @@
                 return;
             }
             ++this->arrivals;
+            ++this->arrivals_by_version[version];
             const auto timer = std::make_shared<boost::asio::steady_timer>(
                 this->io, work_time);
             timer->async_wait(
-                [timer, respond, id, message](const auto&)
+                [timer, respond, id, message, is_failing](const auto&)
                 {
                     response reply;
+                    reply.status = is_failing ? 500 : 200;
                     reply.headers["X-Server-Stamp"] = id + ".stamp";
                     reply.headers["X-Request-Id"] =
                         message.headers.at("x-request-id");
@@ -207,17 +212,19 @@
         };
         this->replicas.push_back(std::move(*adapters::http::server::listen(
             this->io, "127.0.0.1", 0, std::move(handlers), {})));
-        this->register_replica(id, this->replicas.back()->port());
+        this->register_replica(id, this->replicas.back()->port(), version);
     }
 
-    void register_replica(const std::string& id, std::uint16_t port)
+    void register_replica(const std::string& id,
+                          std::uint16_t port,
+                          const std::string& version = "v1")
     {
         this->store.write("servers/" + id,
                           json::serialize(json::object{
                               {"service", "s"},
                               {"address", "127.0.0.1:" + std::to_string(port)},
                               {"zone", "z"},
-                              {"version", "v1"},
+                              {"version", version},
                               {"capacity", 2},
                               {"state", "ready"},
                               {"warmupRemainingMs", 0},
@@ -433,6 +440,7 @@
     std::vector<std::string> status_lines;
     std::size_t query_count = 0;
     std::size_t arrivals = 0;
+    std::map<std::string, std::size_t> arrivals_by_version;
 };
 
 } // namespace
@@ -1109,3 +1117,80 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(rollouts)
+
+namespace
+{
+
+/// Runs an order to move to v2 at two nodes, with a request every 3 ms, and
+/// returns the last state in the store.
+std::string run_rollout(relay_cluster& cluster, bool is_failing)
+{
+    cluster.add_replica("r-2", 5ms);
+    cluster.run_for(100ms);
+    cluster.store.write(
+        "op/rollout/s",
+        R"({"service":"s","targetVersion":"v2","durationS":10})");
+    cluster.run_for(100ms);
+    cluster.add_replica("n-1", 5ms, "v2", is_failing);
+    cluster.add_replica("n-2", 5ms, "v2", is_failing);
+    for (int i = 0; i < 9500 / 3; ++i)
+    {
+        cluster.send_query("/one/x", static_cast<std::size_t>(i) % 2);
+        cluster.run_for(3ms);
+        const auto stored = cluster.store.value_of("status/rollout/s");
+        if (!stored.empty())
+        {
+            const auto status = json::parse(stored).as_object();
+            BOOST_TEST(status.at("targetVersion").as_string() == "v2");
+            const std::string state(status.at("state").as_string());
+            if (state != "running")
+            {
+                return state;
+            }
+        }
+    }
+    return "open";
+}
+
+} // namespace
+
+// Guards against parts that work alone but are not connected: keys, datagrams,
+// lease and transactions over sockets.
+BOOST_AUTO_TEST_CASE(a_good_version_is_completed)
+{
+    relay_cluster cluster(2);
+    BOOST_TEST(run_rollout(cluster, false) == "completed");
+    cluster.run_for(100ms);
+    const auto before = cluster.arrivals_by_version;
+    BOOST_TEST(before.at("v2") > 20U);
+    for (int i = 0; i < 40; ++i)
+    {
+        cluster.send_query("/one/x", static_cast<std::size_t>(i) % 2);
+        cluster.run_for(5ms);
+    }
+    cluster.run_for(100ms);
+    BOOST_TEST(cluster.arrivals_by_version.at("v1") == before.at("v1"));
+    BOOST_TEST(cluster.arrivals_by_version.at("v2") >= before.at("v2") + 40);
+    BOOST_TEST(cluster.count(200) == cluster.query_count);
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_version_is_rolled_back)
+{
+    relay_cluster cluster(2);
+    BOOST_TEST(run_rollout(cluster, true) == "rolled_back");
+    cluster.run_for(100ms);
+    const auto before = cluster.arrivals_by_version;
+    const auto sent = before.at("v1") + before.at("v2");
+    BOOST_TEST(before.at("v2") <= sent / 10 + 50);
+    for (int i = 0; i < 40; ++i)
+    {
+        cluster.send_query("/one/x", static_cast<std::size_t>(i) % 2);
+        cluster.run_for(5ms);
+    }
+    cluster.run_for(100ms);
+    BOOST_TEST(cluster.arrivals_by_version.at("v2") == before.at("v2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -90,6 +90,13 @@
         return this->items.contains(key);
     }
 
+    /// The value of a key, empty if there is none.
+    [[nodiscard]] std::string value_of(const std::string& key) const
+    {
+        const auto found = this->items.find(key);
+        return found == this->items.end() ? std::string() : found->second.value;
+    }
+
     [[nodiscard]] std::vector<std::string>
     keys_with(const std::string& prefix) const
     {
@@ -298,6 +305,18 @@
                   const adapters::http::responder& respond)
     {
         const auto parsed = boost::json::parse(body);
+        for (const auto& row : parsed.at("expected").as_array())
+        {
+            const auto found =
+                this->items.find(std::string(row.at("key").as_string()));
+            const auto known =
+                found == this->items.end() ? 0 : found->second.revision;
+            if (known != row.at("revision").to_number<std::uint64_t>())
+            {
+                answer(respond, 412);
+                return;
+            }
+        }
         for (const auto& row : parsed.at("puts").as_array())
         {
             const auto lease = row.at("leaseId").to_number<std::uint64_t>();
