--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -38,6 +38,9 @@
     directory_answers,
     handler_failures,
     unknown_credentials,
+    target_version_sends,
+    rollouts_completed,
+    rollouts_rolled_back,
     end
 };
 
@@ -66,7 +69,10 @@
                         "store_failures",
                         "directory_answers",
                         "handler_failures",
-                        "unknown_credentials"};
+                        "unknown_credentials",
+                        "target_version_sends",
+                        "rollouts_completed",
+                        "rollouts_rolled_back"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <core/relay/rollout_control.hpp>
+
 namespace hawthornrelay::core::relay
 {
 
@@ -54,6 +56,7 @@
     std::chrono::milliseconds quota_window{5000};
     double quota_overshoot = 0.1;
     double quota_slack = 20;
+    rollout_bounds rollouts;
     std::chrono::milliseconds min_lease{1000};
     /// A replica's registration ends after three of these without a renewal.
     std::chrono::milliseconds heartbeat_interval{1200};
