--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -272,6 +272,16 @@
                           {"idleTimeoutMs", 5000}}}});
     }
 
+    /// A configuration in which one organisation has the given keys.
+    static std::string configuration(std::uint64_t version,
+                                     const json::array& keys)
+    {
+        auto document = json::parse(configuration(version)).as_object();
+        document["tenants"] =
+            json::array{json::object{{"name", "acme"}, {"apiKeys", keys}}};
+        return json::serialize(document);
+    }
+
     void add_node(const std::string& name)
     {
         this->settings.push_back(this->make_settings(name));
@@ -658,6 +668,55 @@
     BOOST_TEST(cluster.replicas.back()->active_connections() == 0U);
 }
 
+// Guards against: open connections keep the keys with which they were opened,
+// and a node that follows others does not know the keys.
+BOOST_AUTO_TEST_CASE(a_removed_key_is_refused_on_open_connections)
+{
+    relay_cluster cluster(3);
+    cluster.store.write("op/config",
+                        relay_cluster::configuration(2, {"k-1", "k-2"}));
+    cluster.io.run_for(800ms);
+    std::vector<std::shared_ptr<adapters::http::connection>> callers;
+    for (const auto& node : cluster.settings)
+    {
+        callers.push_back(adapters::http::connection::create(
+            cluster.io, node.caller_address.text()));
+    }
+    std::string codes;
+    const auto send_all = [&](const std::string& key)
+    {
+        for (const auto& caller : callers)
+        {
+            request message;
+            message.target = "/one/x";
+            message.headers["host"] = "h.example";
+            message.headers["authorization"] = "Bearer " + key;
+            message.headers["x-request-id"] =
+                "k" + std::to_string(++cluster.query_count);
+            caller->send(std::move(message),
+                         1s,
+                         [&codes](const answer& reply)
+                         {
+                             codes += reply
+                                          ? std::to_string(reply->status) + " "
+                                          : "lost ";
+                         });
+        }
+        cluster.io.run_for(200ms);
+    };
+    send_all("k-1");
+    cluster.store.write("op/config", relay_cluster::configuration(3, {"k-2"}));
+    cluster.io.run_for(800ms);
+    send_all("k-1");
+    send_all("k-2");
+    BOOST_TEST(codes == "200 200 200 401 401 401 200 200 200 ");
+    BOOST_TEST(cluster.arrivals == 6U);
+    for (const auto& caller : callers)
+    {
+        BOOST_TEST(caller->is_open());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(metrics_are_served_as_text)
 {
     relay_cluster cluster;
--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <platform/decode.hpp>
+#include <platform/key_redaction.hpp>
 #include <platform/replica_wire.hpp>
 
 using namespace hawthornrelay;
@@ -251,7 +252,7 @@
          R"([{"name":"a","apiKeys":[""]}])",
          R"([{"name":"a","apiKeys":["secret secret"]}])",
          R"([{"name":"a","apiKeys":["secret"],"priority":-1}])",
-         R"([{"name":"a","apiKeys":["secret"],"priority":"secret"}])",
+         R"([{"name":"a","apiKeys":["secret"],"priority":"high"}])",
          R"([{"name":"a","apiKeys":["secret"],"ratePerS":-1}])",
          R"([{"name":"a","apiKeys":["secret"],"burst":null}])",
          R"([{"name":"a","apiKeys":["secret"]},{"name":"b","apiKeys":["secret"]}])",
@@ -261,8 +262,30 @@
             platform::decode_configuration(configuration(tenants));
         BOOST_TEST_REQUIRE(!config.has_value(), tenants);
         BOOST_TEST(config.error().detail.find("secret") == std::string::npos);
+        // Nodes that follow others decode the text without keys.
+        const auto redacted = platform::redact_keys(configuration(tenants));
+        BOOST_TEST(redacted.find("\"secret") == std::string::npos, redacted);
+        BOOST_TEST(!platform::decode_configuration(redacted), tenants);
     }
     BOOST_TEST(!platform::decode_configuration(configuration("[]", "1")));
 }
 
+// Guards against: a node passes keys on to other nodes, or loses some.
+BOOST_AUTO_TEST_CASE(a_redacted_configuration_serves_the_same_keys)
+{
+    const auto text = configuration(
+        R"([{"name":"a","apiKeys":["secret-1","secret-2"],"burst":2.5}])");
+    const auto redacted = platform::redact_keys(text);
+    BOOST_TEST(redacted.find("secret") == std::string::npos);
+    const auto config = platform::decode_configuration(redacted);
+    BOOST_TEST_REQUIRE(config.has_value());
+    BOOST_TEST(config->organisations->key_count() == 2U);
+    const auto* found = config->organisations->find("Bearer secret-2");
+    BOOST_TEST_REQUIRE(found != nullptr);
+    BOOST_TEST(found->burst == 2.5);
+    BOOST_TEST(platform::redact_keys("secret").empty());
+    const std::string open = R"({ "version": 1 })";
+    BOOST_TEST(platform::redact_keys(open) == open);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
