Roll-outs: announce completion, and store the age of running orders

Cause: a node whose mirror is late fell back to the earlier versions when the last grant lapsed after a completion, and their replicas have stopped then. An order began again when all nodes had ended.

Change: nodes that know of a completion announce it for 10 s as a grant of the stage shift. `running` is stored again after each tenth of the duration with the age of the order.

--- a/src/core/relay/rollout_control.cpp
+++ b/src/core/relay/rollout_control.cpp
@@ -20,6 +20,9 @@
 constexpr double shift_fraction = 0.05;
 constexpr std::chrono::seconds max_shift{3};
 
+/// The stored age of an order is at most this part of its duration old.
+constexpr double refresh_fraction = 0.1;
+
 duration part_of(std::chrono::milliseconds whole, double fraction)
 {
     return std::chrono::duration_cast<duration>(
@@ -47,6 +50,11 @@
                     part_of(this->duration, shift_fraction));
 }
 
+duration rollout_control::refresh_interval() const
+{
+    return part_of(this->duration, refresh_fraction);
+}
+
 void rollout_control::step(const rollout_view& view,
                            const std::optional<rollout_state>& stored)
 {
--- a/src/core/relay/rollout_control.hpp
+++ b/src/core/relay/rollout_control.hpp
@@ -53,6 +53,10 @@
     void step(const rollout_view& view,
               const std::optional<rollout_state>& stored);
 
+    /// @brief Interval at which `running` is stored again, with the age of the
+    ///        order, for a fleet that loses all its nodes.
+    [[nodiscard]] base::duration refresh_interval() const;
+
     /// @brief The traffic that nodes may send to the target version.
     [[nodiscard]] rollout_stage stage() const
     {
--- a/src/core/relay/rollout_manager.cpp
+++ b/src/core/relay/rollout_manager.cpp
@@ -38,6 +38,11 @@
 /// only repeat the comparison.
 constexpr std::chrono::milliseconds min_tick_interval{100};
 
+/// A completed roll-out is announced for this time as a grant of all traffic. A
+/// node whose mirror is late would return to the earlier versions, whose
+/// replicas have stopped.
+constexpr std::chrono::seconds announcement_time{10};
+
 /// In a message: the node has not reached the stage shift.
 constexpr std::uint32_t not_shifted = std::numeric_limits<std::uint32_t>::max();
 
@@ -121,6 +126,7 @@
     item.peers.clear();
     item.is_bad = false;
     item.write_again_at = {};
+    item.announced_until = {};
 }
 
 void rollout_manager::on_order(const std::string& service,
@@ -181,7 +187,7 @@
     {
         auto kept = *known;
         kept.revision = status ? status->revision : 0;
-        item.share.set_status(std::move(kept));
+        item.share.set_status(std::move(kept), this->runtime.now());
         return;
     }
     if (status)
@@ -192,13 +198,40 @@
                          {"state", std::string(name_of(status->state))},
                          {"revision", std::to_string(status->revision)}});
     }
-    item.share.set_status(std::move(status));
+    this->set_status(item, std::move(status));
     if (!item.share.order() && !item.share.status())
     {
         this->rollouts.erase(service);
     }
 }
 
+void rollout_manager::set_status(rollout& item,
+                                 std::optional<rollout_status> status)
+{
+    const auto now = this->runtime.now();
+    const bool was_open = item.share.is_open();
+    item.share.set_status(std::move(status), now);
+    const bool is_completed =
+        was_open && !item.share.is_open() && item.share.has_status_of_order() &&
+        item.share.status()->state == rollout_state::completed;
+    if (is_completed)
+    {
+        item.announced_until = now + announcement_time;
+    }
+}
+
+bool rollout_manager::is_idle() const
+{
+    const auto now = this->runtime.now();
+    return !this->is_decider() && !this->has_open() &&
+           std::none_of(this->rollouts.begin(),
+                        this->rollouts.end(),
+                        [now](const auto& item)
+                        {
+                            return now < item.second.announced_until;
+                        });
+}
+
 void rollout_manager::on_decider(const std::string& name)
 {
     if (name.empty() || this->known_decider.empty())
@@ -507,6 +540,12 @@
     {
         this->write(service, item, *state);
     }
+    else if (item.control->stage() == rollout_stage::canary &&
+             share.order_age(now) - share.status()->elapsed >=
+                 item.control->refresh_interval())
+    {
+        this->write(service, item, rollout_state::running);
+    }
 }
 
 void rollout_manager::write(const std::string& service,
@@ -588,7 +627,7 @@
     {
         auto stored = status;
         stored.revision = *written;
-        item.share.set_status(std::move(stored));
+        this->set_status(item, std::move(stored));
     }
 }
 
@@ -609,12 +648,20 @@
     rollout_message result;
     for (const auto& [service, item] : this->rollouts)
     {
-        if (!item.share.order() || !item.share.is_open())
+        const bool is_open = item.share.order() && item.share.is_open();
+        const bool is_announced =
+            item.share.order() && this->runtime.now() < item.announced_until;
+        if (!is_open && !is_announced)
         {
             continue;
         }
         auto state = this->own_state(item);
         state.service = base::hash_of(service);
+        if (is_announced)
+        {
+            state.stage = rollout_stage::shift;
+            state.age = {};
+        }
         result.grants.push_back(state);
         const auto counts = item.share.counts();
         result.counts.insert(result.counts.end(), counts.begin(), counts.end());
--- a/src/core/relay/rollout_manager.hpp
+++ b/src/core/relay/rollout_manager.hpp
@@ -98,10 +98,7 @@
                                        bool is_repeated);
 
     /// @brief Whether there is neither an open roll-out nor a duty to end.
-    [[nodiscard]] bool is_idle() const
-    {
-        return !this->is_decider() && !this->has_open();
-    }
+    [[nodiscard]] bool is_idle() const;
 
     /// @brief Whether this node decides.
     [[nodiscard]] bool is_decider() const
@@ -129,6 +126,7 @@
         bool is_bad = false; ///< the verdict was bad once
         bool is_writing = false;
         base::time_point write_again_at{};
+        base::time_point announced_until{}; ///< as completed
     };
 
     rollout& rollout_of(const std::string& service);
@@ -140,6 +138,7 @@
     [[nodiscard]] bool has_target_replica(const std::string& service,
                                           const std::string& version) const;
     [[nodiscard]] bool is_shifted(const rollout& item) const;
+    void set_status(rollout& item, std::optional<rollout_status> status);
     void step(const std::string& service, rollout& item);
     void write(const std::string& service, rollout& item, rollout_state state);
     void on_written(const std::string& service,
--- a/src/core/relay/rollout_share.cpp
+++ b/src/core/relay/rollout_share.cpp
@@ -94,9 +94,15 @@
     }
 }
 
-void rollout_share::set_status(std::optional<rollout_status> status)
+void rollout_share::set_status(std::optional<rollout_status> status,
+                               time_point now)
 {
     this->current_status = std::move(status);
+    if (this->has_status_of_order())
+    {
+        this->order_known_at =
+            std::min(this->order_known_at, now - this->current_status->elapsed);
+    }
     this->find_base();
 }
 
@@ -155,10 +161,7 @@
     {
         return duration(0);
     }
-    const auto stored = this->has_status_of_order()
-                            ? this->current_status->elapsed
-                            : duration(0);
-    return std::max(now - this->order_known_at, stored);
+    return now - this->order_known_at;
 }
 
 bool rollout_share::has_status_of_order() const
--- a/src/core/relay/rollout_share.hpp
+++ b/src/core/relay/rollout_share.hpp
@@ -44,7 +44,7 @@
     void set_order(std::optional<rollout_order> order, base::time_point now);
 
     /// @brief Sets or removes the stored status.
-    void set_status(std::optional<rollout_status> status);
+    void set_status(std::optional<rollout_status> status, base::time_point now);
 
     /// @brief Sets the part of the requests that a bad version may get.
     /// @param bounds bounds over all nodes
--- a/tests/relay/test_rollouts.cpp
+++ b/tests/relay/test_rollouts.cpp
@@ -387,7 +387,8 @@
         }
         for (const auto& node : this->nodes)
         {
-            this->loop.after(30ms,
+            const bool is_late = node->name == this->late_mirror;
+            this->loop.after(is_late ? 8s : 30ms,
                              [this, node = node.get(), key, row, is_removed]
                              {
                                  this->apply(*node, key, row, is_removed);
@@ -539,6 +540,25 @@
         return result;
     }
 
+    /// Replaces all nodes by new ones, which list the store.
+    void restart_all()
+    {
+        for (auto& node : this->nodes)
+        {
+            kill(*node);
+            this->ended.push_back(std::move(node));
+        }
+        this->nodes.clear();
+        for (std::size_t i = 0; i < node_count; ++i)
+        {
+            this->nodes.push_back(this->make_node("n" + std::to_string(i)));
+            for (const auto& [key, row] : this->store.rows)
+            {
+                this->apply(*this->nodes.back(), key, row, false);
+            }
+        }
+    }
+
     /// Ends a node that decides, as SIGKILL does.
     void kill_decider()
     {
@@ -593,6 +613,8 @@
     behaviour behave;
     relay::configuration_ptr config;
     std::vector<std::unique_ptr<simulated_node>> nodes;
+    std::vector<std::unique_ptr<simulated_node>> ended;
+    std::string late_mirror; ///< name of a node that learns of changes late
     std::mt19937 random{7};
     std::size_t request_count = 0;
     std::size_t failures = 0;
@@ -675,8 +697,8 @@
     const auto counter = std::make_shared<unsigned>(0);
     run_bad(
         [recent, counter](const relay::replica_record& target,
-                 const std::string&,
-                 duration age) -> response
+                          const std::string&,
+                          duration age) -> response
         {
             if (target.version != "v2")
             {
@@ -889,6 +911,31 @@
     BOOST_TEST(simulation.count("v2", simulation.ordered_at, from) > 0U);
 }
 
+// Guards against a node that returns to replicas which have stopped, since it
+// learns of the completion late.
+BOOST_AUTO_TEST_CASE(a_late_mirror_after_completion)
+{
+    rollout_simulation simulation(good);
+    simulation.loop.run_for(2s);
+    simulation.order("v2", 30s);
+    simulation.loop.run_for(20s);
+    simulation.late_mirror = "n3";
+    simulation.loop.run_for(13s);
+    simulation.check_good_is_completed();
+}
+
+// Guards against an order that begins again when all nodes have ended.
+BOOST_AUTO_TEST_CASE(all_nodes_restart)
+{
+    rollout_simulation simulation(good);
+    simulation.loop.run_for(2s);
+    simulation.order("v2", 60s);
+    simulation.loop.run_for(30s);
+    simulation.restart_all();
+    simulation.loop.run_for(29s);
+    simulation.check_good_is_completed();
+}
+
 BOOST_AUTO_TEST_CASE(second_order)
 {
     rollout_simulation simulation(failing(30));
