Replica estimate: use the work figure of X-Replica-Load

Cause: a machine that is slow at the moment got requests until several slow answers had arrived. The fourth figure of X-Replica-Load says so at once, but was not read. Without the fourth figure the estimate is the same, which a test compares.

--- a/src/adapters/relay/replica_pool.cpp
+++ b/src/adapters/relay/replica_pool.cpp
@@ -248,7 +248,8 @@
                              outcome.is_unreachable ||
                                  outcome.result == send_result::other_replica,
                              outcome.rate_limit,
-                             outcome.is_leaving});
+                             outcome.is_leaving,
+                             outcome.load});
                    });
     timer->expires_after(probe_timeout);
     timer->async_wait(
--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -22,6 +22,17 @@
 /// A reported load is ignored after this time.
 constexpr std::chrono::milliseconds load_validity{300};
 
+/// The weight of a load that includes the work halves in this time: the figures
+/// change many times a second, so that one of half a second ago says little.
+constexpr std::chrono::milliseconds load_half_life{150};
+
+/// A replica with this work factor gets few requests if others are usual.
+constexpr double slow_work = 1.5;
+
+/// Bounds on the latency that the reported work does not explain.
+constexpr double min_unexplained = 0.1;
+constexpr double max_unexplained = 20;
+
 /// Consecutive failures that make a replica suspect.
 constexpr unsigned suspect_after = 2;
 
@@ -80,14 +91,22 @@
     if (result == send_result::answered)
     {
         this->latency_ratio.add(latency_ratio, now);
+        if (this->load.work_factor)
+        {
+            this->unexplained_ratio.add(
+                std::clamp(latency_ratio / *this->load.work_factor,
+                           min_unexplained,
+                           max_unexplained),
+                now);
+        }
         this->has_failed_check = false;
     }
 }
 
-void replica_health::on_load(double utilization, time_point now)
+void replica_health::on_load(const replica_load& load, time_point now)
 {
-    this->utilization = utilization;
-    this->busy_at = now;
+    this->load = load;
+    this->load_at = now;
 }
 
 void replica_health::on_check(bool has_answered,
@@ -118,14 +137,69 @@
 
 double replica_health::cost(double distance_factor, time_point now) const
 {
-    const double load =
-        now - this->busy_at < load_validity ? this->utilization : 0.0;
-    const double waiting =
-        waiting_cost * (static_cast<double>(this->in_flight.size()) + load);
     const double failures =
         failure_cost * (this->failed.at(now) + this->shed.at(now));
-    return std::max(0.1, this->latency_ratio.at(now)) * distance_factor +
-           waiting + failures;
+    const double expected = this->slowness(now);
+    if (this->load.work_factor)
+    {
+        return expected * distance_factor + this->queueing_cost(expected, now) +
+               failures;
+    }
+    const double utilization =
+        now - this->load_at < load_validity ? this->load.utilization() : 0.0;
+    const double waiting =
+        waiting_cost *
+        (static_cast<double>(this->in_flight.size()) + utilization);
+    return expected * distance_factor + waiting + failures;
+}
+
+bool replica_health::is_report_outdated(duration age, time_point now) const
+{
+    // A passed check would end the count of failures in a row.
+    return this->failures_in_a_row == 0 &&
+           this->load.work_factor.value_or(0) >= slow_work &&
+           now - this->load_at >= age;
+}
+
+double replica_health::load_weight(time_point now) const
+{
+    const auto age = std::chrono::duration<double>(now - this->load_at);
+    const auto half = std::chrono::duration<double>(load_half_life);
+    return std::exp2(-std::max(0.0, age / half));
+}
+
+double replica_health::slowness(time_point now) const
+{
+    const double observed = std::max(0.1, this->latency_ratio.at(now));
+    if (!this->load.work_factor)
+    {
+        return observed;
+    }
+    const double reported =
+        *this->load.work_factor * this->unexplained_ratio.at(now);
+    const double weight = this->load_weight(now);
+    return std::max(0.1, weight * reported + (1 - weight) * observed);
+}
+
+double replica_health::queueing_cost(double slowness, time_point now) const
+{
+    const auto own = static_cast<double>(this->in_flight.size());
+    // The report includes the sends in flight that were made before it.
+    const auto unreported =
+        std::count_if(this->in_flight.begin(),
+                      this->in_flight.end(),
+                      [this](const auto& send)
+                      {
+                          return send.second >= this->load_at;
+                      });
+    const double weight = this->load_weight(now);
+    const double present =
+        std::max(own,
+                 weight * (this->load.running + this->load.waiting) +
+                     static_cast<double>(unreported));
+    const double queued = std::max(0.0, present + 1 - this->load.slots);
+    return waiting_cost * (own + weight * this->load.utilization()) +
+           slowness * queued / this->load.slots;
 }
 
 duration replica_health::oldest_wait(time_point now) const
--- a/src/core/relay/replica_health.hpp
+++ b/src/core/relay/replica_health.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include <core/base/time.hpp>
+#include <core/relay/replica_load.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -65,8 +66,23 @@
                    base::time_point now);
 
     /// @brief Records the load that the replica reported.
-    /// @param utilization (running + waiting) / slots
-    void on_load(double utilization, base::time_point now);
+    /// @param load the load in an answer or a health check
+    /// @param now the current time
+    void on_load(const replica_load& load, base::time_point now);
+
+    /// @brief Tells whether the replica last reported slow work, so that it may
+    ///        get no requests whose answers would report a change.
+    /// @param age the age of that report, at least
+    /// @param now the current time
+    [[nodiscard]] bool is_report_outdated(base::duration age,
+                                          base::time_point now) const;
+
+    /// @brief Tells whether the replica reports how long work takes on its
+    ///        machine.
+    [[nodiscard]] bool reports_work() const
+    {
+        return this->load.work_factor.has_value();
+    }
 
     /// @brief Records the outcome of a health check. The reported state may be
     ///        wrong, but any answer shows that the replica is running.
@@ -101,16 +117,27 @@
     [[nodiscard]] double cost(double distance_factor,
                               base::time_point now) const;
 
+    /// @brief The expected time of a request once it runs, in multiples of the
+    ///        usual latency.
+    [[nodiscard]] double slowness(base::time_point now) const;
+
     /// @brief The age of the oldest send in flight, zero if there is none.
     [[nodiscard]] base::duration oldest_wait(base::time_point now) const;
 
   private:
+    [[nodiscard]] double load_weight(base::time_point now) const;
+    /// Cost of the requests at the replica, for one that reports its work.
+    [[nodiscard]] double queueing_cost(double slowness,
+                                       base::time_point now) const;
+
     std::map<std::uint64_t, base::time_point> in_flight;
     decaying_mean latency_ratio{1.0};
+    /// Latency that the reported work does not explain.
+    decaying_mean unexplained_ratio{1.0};
     decaying_mean shed{0.0};
     decaying_mean failed{0.0};
-    double utilization = 0;
-    base::time_point busy_at{};
+    replica_load load;
+    base::time_point load_at{};
     unsigned failures_in_a_row = 0;
     bool has_failed_check = false;
     base::time_point checked_at{};
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -39,6 +39,10 @@
 /// may be cold or may have ended.
 constexpr std::chrono::milliseconds recheck_interval{250};
 
+/// With more entries than this, each asks a replica about its load less often,
+/// so that it gets at most some 64 such checks a second.
+constexpr unsigned entries_per_recheck = 16;
+
 /// A standby serves few requests and may use 1/16 of an entry's portion.
 constexpr unsigned standby_cold_divisor = 16;
 
@@ -178,6 +182,7 @@
             cost += suspect_cost;
         }
         ranked.emplace_back(cost, candidate);
+        this->refresh_load(candidate);
     }
     std::stable_sort(ranked.begin(),
                      ranked.end(),
@@ -203,6 +208,20 @@
     return nullptr;
 }
 
+void request_engine::refresh_load(const replica_ptr& target)
+{
+    const auto now = this->runtime.now();
+    const auto interval =
+        recheck_interval * (1 + this->entry_count / entries_per_recheck);
+    const bool is_due =
+        target->health.is_report_outdated(recheck_interval, now) &&
+        now - target->checked_at >= interval;
+    if (is_due)
+    {
+        this->check(target);
+    }
+}
+
 double request_engine::cold_rate(const replica& target) const
 {
     if (this->config == nullptr)
@@ -243,6 +262,10 @@
             {
                 this->on_limit(target, report.rate_limit);
             }
+            if (report.load && report.load->work_factor)
+            {
+                target->health.on_load(*report.load, this->runtime.now());
+            }
             if (report.is_leaving)
             {
                 this->on_leaving(target);
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -175,6 +175,9 @@
     ///         nullptr
     replica_ptr choose(const std::vector<replica_ptr>& candidates,
                        base::duration stall_threshold);
+    /// Asks a replica that gets no requests since its work was slow whether it
+    /// still is.
+    void refresh_load(const replica_ptr& target);
     void detect_process_pause();
     /// Checks whether a replica has ended that left a send without an answer.
     void on_unanswered(const replica_ptr& target, unanswered_send send);
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -28,6 +28,10 @@
 /// later hedge is unlikely to be answered within the objective.
 constexpr double max_hedge_delay_fraction = 0.3;
 
+/// Upper bound on the slowness of a replica that delays a hedge: one that is
+/// slower is more likely to have a fault than to be busy.
+constexpr double max_slowness = 3;
+
 /// Hedge delay of a part that was sent to a stalled replica.
 constexpr std::chrono::milliseconds stalled_hedge_delay{5};
 
@@ -299,12 +303,17 @@
                               round_trip - answer_reserve - spent;
 }
 
-duration request_execution::hedge_delay() const
+duration request_execution::max_hedge_delay() const
 {
-    const duration max_delay(static_cast<duration::rep>(
+    return duration(static_cast<duration::rep>(
         static_cast<double>(
             duration(this->matched_route->latency_objective).count()) *
         max_hedge_delay_fraction));
+}
+
+duration request_execution::hedge_delay() const
+{
+    const auto max_delay = this->max_hedge_delay();
     const auto usual_latency =
         this->engine.latencies[this->matched_route->name].quantile(
             hedge_quantile, max_delay);
@@ -312,6 +321,20 @@
                     std::min(duration(min_hedge_delay), max_delay));
 }
 
+duration request_execution::hedge_delay(const replica& target) const
+{
+    const auto usual = this->hedge_delay();
+    if (!target.health.reports_work())
+    {
+        return usual;
+    }
+    const auto slowness = std::clamp(
+        target.health.slowness(this->engine.runtime.now()), 1.0, max_slowness);
+    const auto scaled = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(usual) * slowness);
+    return std::min(scaled, this->max_hedge_delay());
+}
+
 bool request_execution::send(std::size_t index,
                              const replica_ptr& target,
                              bool is_extra)
@@ -347,7 +370,7 @@
         part.hedge_at =
             now + (is_stalled ? std::min(duration(stalled_hedge_delay),
                                          this->hedge_delay())
-                              : this->hedge_delay());
+                              : this->hedge_delay(*target));
     }
     return true;
 }
@@ -435,11 +458,11 @@
     const double latency_ratio =
         static_cast<double>(elapsed.count()) /
         std::max(1.0, static_cast<double>(mean_latency.count()));
-    this->settle(attempt, outcome.result, latency_ratio);
-    if (outcome.utilization)
+    if (outcome.load)
     {
-        attempt.target->health.on_load(*outcome.utilization, now);
+        attempt.target->health.on_load(*outcome.load, now);
     }
+    this->settle(attempt, outcome.result, latency_ratio);
     if (outcome.result == send_result::other_replica)
     {
         // Requests to that address are now executed by another replica.
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -113,6 +113,9 @@
                         bool is_silent);
     void compute_deadlines();
     [[nodiscard]] base::duration hedge_delay() const;
+    /// The hedge delay of a part that is sent to a replica.
+    [[nodiscard]] base::duration hedge_delay(const replica& target) const;
+    [[nodiscard]] base::duration max_hedge_delay() const;
     void send_first_attempts();
     /// Retry-After if too few replicas can get the request: set by replicas
     /// whose limits are used up or that asked for a pause.
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -13,6 +13,7 @@
 #include <core/base/time.hpp>
 #include <core/relay/answer_memory.hpp>
 #include <core/relay/replica_health.hpp>
+#include <core/relay/replica_load.hpp>
 #include <core/relay/replica_registry.hpp>
 
 namespace hawthornrelay::ports
@@ -47,8 +48,8 @@
 struct send_outcome
 {
     core::relay::send_result result = core::relay::send_result::broken;
-    replica_answer answer;             ///< valid if result is answered
-    std::optional<double> utilization; ///< reported (running + waiting) / slots
+    replica_answer answer; ///< valid if result is answered
+    std::optional<core::relay::replica_load> load; ///< as the replica reports
     std::optional<core::base::duration> warm_up_left; ///< reported warm-up left
     /// Requests a second that the replica takes from all nodes together.
     std::optional<double> rate_limit;
@@ -69,8 +70,9 @@
     /// opened, or another replica answered. A replica that accepts connections
     /// and does not answer may only be busy.
     bool is_gone = false;
-    std::optional<double> rate_limit; ///< as in send_outcome
-    bool is_leaving = false;          ///< as in send_outcome
+    std::optional<double> rate_limit;                ///< as in send_outcome
+    bool is_leaving = false;                         ///< as in send_outcome
+    std::optional<core::relay::replica_load> load{}; ///< as in send_outcome
 };
 
 /// @brief Sends requests to replicas over persistent connections.
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1059,7 +1059,7 @@
                        false);
     BOOST_TEST(outcome.rate_limit.value() == 12.5);
     BOOST_TEST(outcome.is_leaving);
-    BOOST_TEST(outcome.utilization.value() == 0.75);
+    BOOST_TEST(outcome.load.value().utilization() == 0.75);
     std::vector<std::string> names;
     for (const auto& [name, value] : outcome.answer.fields)
     {
--- /dev/null
+++ b/tests/relay/test_replica_load.cpp
@@ -0,0 +1,144 @@
+// Tests of the estimate of a request's cost at replicas that report how long
+// work takes on their machines. Each compares with the same load without that
+// figure.
+#define BOOST_TEST_MODULE replica_load
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <map>
+
+#include <support/shared_replicas.hpp>
+
+using namespace hawthornrelay::tests::support;
+
+namespace
+{
+
+constexpr double never = 1e9;
+
+/// Answers after 5 ms times the work; says so if `is_reported`.
+scripted_reply working(double work, bool is_reported)
+{
+    scripted_reply reply;
+    reply.after = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(5 * work));
+    reply.load = relay::replica_load{0, 0, 4};
+    if (is_reported)
+    {
+        reply.load->work_factor = work;
+    }
+    return reply;
+}
+
+/// The 0.95 quantile of latencies in ms, of 10 nodes in front of 4 machines
+/// with 2 slots that are usual, slow or very slow for 0.3 to 1.5 s at a time.
+double latency_on_uneven_machines(bool is_reported, double per_second)
+{
+    shared_replicas replicas(10, 4, is_reported);
+    std::map<std::string, time_point> changes;
+    std::discrete_distribution<int> kind{6, 2, 1};
+    std::uniform_int_distribution<int> length(300, 1500);
+    std::mt19937 random(3);
+    replicas.on_step = [&]
+    {
+        const auto now = replicas.fleet.now();
+        for (auto& [id, machine] : replicas.machines)
+        {
+            if (changes[id] <= now)
+            {
+                static constexpr std::array<double, 3> works{1.0, 2.5, 5.0};
+                machine.work = works.at(static_cast<std::size_t>(kind(random)));
+                changes[id] = now + std::chrono::milliseconds(length(random));
+            }
+        }
+    };
+    replicas.run(per_second, 30s);
+    return replicas.latency_quantile(0.95);
+}
+
+/// Hedges of 500 searches, one shard of which is on slow machines.
+std::uint64_t hedges_of_slow_shard(bool is_reported)
+{
+    relay_simulation simulation(
+        [is_reported](const relay::replica& replica, const std::string&)
+        {
+            const bool is_slow = replica.record.service == "shard3";
+            return working(is_slow ? 2.5 : 1.0, is_reported);
+        },
+        40);
+    served_in_time(simulation, 500, 11ms);
+    return simulation.engine.counters
+        .values[static_cast<std::size_t>(relay::relay_counter::hedges)];
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(work_figure)
+
+// Guards against: requests queue at machines that are slow at the moment while
+// others are free. With little load the figure makes no difference.
+BOOST_AUTO_TEST_CASE(requests_avoid_machines_that_are_slow_at_the_moment)
+{
+    static constexpr std::array<std::pair<double, double>, 4> loads{
+        {{100, 1.0}, {200, 1.0}, {300, 0.85}, {400, 0.85}}};
+    for (const auto& [per_second, most] : loads)
+    {
+        const auto with_figure = latency_on_uneven_machines(true, per_second);
+        const auto without = latency_on_uneven_machines(false, per_second);
+        BOOST_TEST_MESSAGE(per_second << "/s: " << with_figure
+                                      << " ms, without " << without << " ms");
+        BOOST_TEST(with_figure <= most * without);
+    }
+}
+
+// Guards against: extra sends for a shard whose machines are known to be slow,
+// which another replica of it would not answer sooner.
+BOOST_AUTO_TEST_CASE(a_slow_shard_is_not_hedged_at_the_usual_delay)
+{
+    const auto with_figure = hedges_of_slow_shard(true);
+    const auto without = hedges_of_slow_shard(false);
+    BOOST_TEST_MESSAGE("hedges: " << with_figure << ", without " << without);
+    BOOST_TEST(with_figure * 10 <= without);
+}
+
+// Guards against: an old figure counts as much as a new one.
+BOOST_AUTO_TEST_CASE(a_stale_figure_loses_its_weight)
+{
+    const time_point start(1h);
+    relay::replica_health health;
+    health.on_load({4, 2, 4, 5.0}, start);
+    double before = never;
+    for (const auto age : {0ms, 100ms, 300ms, 1000ms})
+    {
+        BOOST_TEST(health.cost(1.0, start + age) < before);
+        before = health.cost(1.0, start + age);
+    }
+    BOOST_TEST(before < 1.2);
+}
+
+// Guards against: a replica that reports fast work and answers slowly looks
+// fast.
+BOOST_AUTO_TEST_CASE(slow_answers_outweigh_a_figure_that_denies_them)
+{
+    time_point now(1h);
+    relay::replica_health health;
+    for (int i = 0; i < 20; ++i, now += 20ms)
+    {
+        health.on_load({1, 0, 4, 1.0}, now);
+        health.on_result(1, send_result::answered, 6.0, now);
+    }
+    BOOST_TEST(health.slowness(now) > 5);
+}
+
+// Guards against: a change of the estimate for replicas without the figure.
+BOOST_AUTO_TEST_CASE(without_the_figure_the_estimate_is_unchanged)
+{
+    const time_point start(1h);
+    relay::replica_health health;
+    health.on_load({3, 1, 4}, start);
+    health.on_sent(1, start);
+    BOOST_TEST(health.cost(1.5, start + 299ms) == 2.5);
+    BOOST_TEST(health.cost(1.5, start + 300ms) == 2.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -54,6 +54,7 @@
     std::optional<double> rate_limit = std::nullopt;
     bool is_leaving = false;
     std::optional<core::base::duration> back_off = std::nullopt;
+    std::optional<relay::replica_load> load = std::nullopt;
 };
 
 /// @brief Replicas that reply to each request as a script says.
@@ -139,6 +140,9 @@
         return ports::health_report{true, true, std::nullopt};
     };
     core::base::duration max_time_left{};
+    /// The load that a replica reports at the time of an answer, if set.
+    std::function<std::optional<relay::replica_load>(const std::string& id)>
+        load_of;
 
   private:
     void finish(std::uint64_t send_id,
@@ -158,6 +162,7 @@
         outcome.rate_limit = reply.rate_limit;
         outcome.is_leaving = reply.is_leaving;
         outcome.back_off = reply.back_off;
+        outcome.load = this->load_of ? this->load_of(replica) : reply.load;
         outcome.detail = "scripted";
         outcome.answer.status = reply.status;
         outcome.answer.signature = replica + "." + request;
--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -158,16 +158,25 @@
             for (const auto& load :
                  {number + ",0,2", "0," + number + ",2", "0,0," + number})
             {
-                const auto utilization =
-                    answer_with("X-Replica-Load", load).utilization;
-                BOOST_TEST(
-                    (!utilization || (*utilization >= 0 && *utilization < 1e9)),
-                    load);
+                const auto read = answer_with("X-Replica-Load", load).load;
+                BOOST_TEST((!read || (read->utilization() >= 0 &&
+                                      read->utilization() < 1e9)),
+                           load);
             }
+            const auto work = answer_with("X-Replica-Load", "3,1,8," + number);
+            BOOST_TEST(!work.load.value().work_factor);
+            BOOST_TEST(work.load.value().utilization() == 0.5);
         }
     }
     BOOST_TEST((answer_with("X-Warmup-Ms", "1500").warm_up_left == 1500ms));
-    BOOST_TEST(*answer_with("X-Replica-Load", "3,1,8").utilization == 0.5);
+    const auto load = answer_with("X-Replica-Load", "3,1,8").load.value();
+    BOOST_TEST(load.utilization() == 0.5);
+    BOOST_TEST(!load.work_factor);
+    const auto slow = answer_with("X-Replica-Load", "3,1,8,250").load.value();
+    BOOST_TEST(slow.running == 3);
+    BOOST_TEST(slow.waiting == 1);
+    BOOST_TEST(slow.slots == 8);
+    BOOST_TEST(slow.work_factor.value() == 2.5);
     BOOST_TEST(*answer_with("Server-Limit", "2.5").rate_limit == 2.5);
 }
 
