--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -199,6 +199,9 @@
     /// Counts a send during a roll-out.
     /// @return the order that it counts for, 0 for none
     std::uint64_t count_send(const replica& target);
+    /// Asks a replica that gets no requests since its work was slow whether it
+    /// still is.
+    void refresh_load(const replica_ptr& target);
     void detect_process_pause();
     /// Checks whether a replica has ended that left a send without an answer.
     void on_unanswered(const replica_ptr& target, unanswered_send send);
