Relay: divide scarce room of replicas by organisation and priority

Cause: when demand exceeds what replicas can serve, they shed at random, so who sends most is served most, whatever its priority.

Change: core::relay::admission decides before anything is sent, only where the configuration lists organisations and only while replicas shed or report long queues.

The value of the work and the time left are not considered yet.

--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -131,6 +131,8 @@
     event_row{log_event::organisations_in_force,
               "organisations_in_force",
               log_level::info},
+    event_row{log_event::overload_began, "overload_began", log_level::warning},
+    event_row{log_event::overload_ended, "overload_ended", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -111,6 +111,8 @@
     quarantine_ignored = 1064,
     handler_failed = 1065,
     organisations_in_force = 1070,
+    overload_began = 1098,
+    overload_ended = 1099,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -38,6 +38,7 @@
     directory_answers,
     handler_failures,
     unknown_credentials,
+    overload_refusals,
     end
 };
 
@@ -66,7 +67,8 @@
                         "store_failures",
                         "directory_answers",
                         "handler_failures",
-                        "unknown_credentials"};
+                        "unknown_credentials",
+                        "overload_refusals"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -53,6 +53,12 @@
                        runtime.now(),
                        this->settings.is_extra_history_known)
 {
+    this->admitted.on_change = [&log](const std::string& service, bool is_short)
+    {
+        log.write(is_short ? base::log_event::overload_began
+                           : base::log_event::overload_ended,
+                  {{"service", service}});
+    };
 }
 
 request_engine::~request_engine() = default;
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -13,6 +13,7 @@
 #include <core/base/result.hpp>
 #include <core/base/time.hpp>
 #include <core/dispatch/latency_window.hpp>
+#include <core/relay/admission.hpp>
 #include <core/relay/configuration.hpp>
 #include <core/relay/crash_tracker.hpp>
 #include <core/relay/extra_budget.hpp>
@@ -221,6 +222,7 @@
     ports::event_log& log;
     configuration_ptr config;
     extra_budget extras;
+    admission admitted;
     crash_tracker crashes;
     std::optional<base::time_point> last_running_at;
     std::optional<base::time_point> closes_at;
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -47,6 +47,10 @@
 /// Requests with less time left are refused at once.
 constexpr std::chrono::milliseconds min_time_left{2};
 
+/// Retry-After of requests that are refused for want of room: the shares have
+/// been computed anew by then.
+constexpr std::chrono::milliseconds overload_retry_after{100};
+
 /// Replicas that have not been heard of for this long after a request was sent
 /// to them are checked; longer than a usual pause.
 constexpr std::chrono::milliseconds silence_check_delay{250};
@@ -103,6 +107,10 @@
     }
     // The caller's organisation is known and nothing has been sent: its quota
     // is applied here.
+    if (this->refuse_if_overloaded())
+    {
+        return;
+    }
     this->compute_deadlines();
     this->silence_check_at = this->started + silence_check_delay;
     this->is_dispatching = true;
@@ -298,6 +306,26 @@
     return false;
 }
 
+bool request_execution::refuse_if_overloaded()
+{
+    if (!this->config->organisations)
+    {
+        return false;
+    }
+    const request_kind kind{this->priority(),
+                            this->caller == nullptr ? "" : this->caller->name};
+    if (this->engine.admitted.try_admit(
+            this->parts.front().service, kind, this->started))
+    {
+        return false;
+    }
+    this->engine.counters.add(relay_counter::overload_refusals);
+    this->fail(result_code::overloaded,
+               "replicas have no room for this kind of request",
+               overload_retry_after);
+    return true;
+}
+
 unsigned request_execution::priority() const
 {
     const auto own =
@@ -474,6 +502,13 @@
     {
         attempt.target->health.on_load(*outcome.utilization, now);
     }
+    if (this->config->organisations)
+    {
+        this->engine.admitted.on_outcome(this->parts.front().service,
+                                         this->parts.size(),
+                                         outcome.result == send_result::shed,
+                                         outcome.utilization.value_or(0));
+    }
     if (outcome.result == send_result::other_replica)
     {
         // Requests to that address are now executed by another replica.
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -91,6 +91,9 @@
     /// Finds the caller's organisation and prepares the fields that replicas
     /// get. Fails the request and returns true if it needs a known key.
     bool refuse_if_unidentified();
+    /// Fails the request and returns true if replicas have too little room and
+    /// requests of other kinds are preferred.
+    bool refuse_if_overloaded();
     /// The priority of the request, 0 is the highest.
     [[nodiscard]] unsigned priority() const;
     /// Fails the request and returns true if the process may end before it.
