--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -149,6 +149,8 @@
     event_row{log_event::rollout_unreadable,
               "rollout_unreadable",
               log_level::warning},
+    event_row{log_event::overload_began, "overload_began", log_level::warning},
+    event_row{log_event::overload_ended, "overload_ended", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -120,6 +120,8 @@
     rollout_rejected = 1090,
     rollout_written = 1091,
     rollout_unreadable = 1092,
+    overload_began = 1098,
+    overload_ended = 1099,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -41,6 +41,7 @@
     target_version_sends,
     rollouts_completed,
     rollouts_rolled_back,
+    overload_refusals,
     end
 };
 
@@ -72,7 +73,8 @@
                         "unknown_credentials",
                         "target_version_sends",
                         "rollouts_completed",
-                        "rollouts_rolled_back"};
+                        "rollouts_rolled_back",
+                        "overload_refusals"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
