Admission test: require that urgent requests are preferred

Cause: the mutation relay-priority-ignored survived, since equal shares also serve no less urgent kind more often. Floods of an urgent organisation had no case.

Change: the most urgent kind must be served 1.3 times as often as all together, or 0.85. A new case has a flood of the highest priority beside two organisations.

--- a/tests/relay/test_admission.cpp
+++ b/tests/relay/test_admission.cpp
@@ -172,6 +172,8 @@
             capacity, {{"a", 0, 100}, {"b", 1, 100}, {"c", 5, 100}});
         overload.run(12s);
         const auto& sources = overload.sources;
+        BOOST_TEST(sources.front().ratio() >
+                   std::min(0.85, 1.3 * overload.ratio()));
         for (std::size_t i = 0; i < sources.size(); ++i)
         {
             BOOST_TEST_MESSAGE(capacity << " " << sources[i].ratio());
@@ -182,4 +184,19 @@
     }
 }
 
+// Guards against: a flood of urgent requests leaves nothing to other
+// organisations.
+BOOST_AUTO_TEST_CASE(an_urgent_flood_leaves_a_part_to_others)
+{
+    overload_simulation overload(
+        200, {{"flood", 0, 500}, {"a", 2, 40}, {"b", 2, 40}});
+    overload.run(12s);
+    for (const auto& item : overload.sources)
+    {
+        BOOST_TEST_MESSAGE(item.organisation << " " << item.ratio());
+        BOOST_TEST(item.ratio() >= overload.ratio() / 4, item.organisation);
+        BOOST_TEST(item.ratio() <= overload.sources.front().ratio() + 0.05);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
