Roll-outs: compare versions within short slices of time

Cause: a good version with most replicas in a zone that became slow was rolled back. The earlier versions avoided the zone, so that their figures were from before.

Change: the judge adds up differences over slices of 2 s or more. Tests: the share of a good version, one route beside failures of another, most replicas in the slow zone, a third version, two cases of the judge alone. In the case with failures of another route, failures that v1 has as well do not count as bad responses of v2, as they are no fault of the version.

--- a/src/core/relay/rollout_judge.cpp
+++ b/src/core/relay/rollout_judge.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <cmath>
 #include <optional>
-#include <set>
+#include <utility>
 
 namespace hawthornrelay::core::relay
 {
@@ -16,8 +16,13 @@
 constexpr std::array<std::chrono::seconds, 2> recent_periods{
     std::chrono::seconds(4), std::chrono::seconds(15)};
 
-/// Interval of the totals that are kept to judge recent periods.
-constexpr std::chrono::milliseconds record_interval{500};
+/// A slice lasts at least min_slice, and until the earlier versions have this
+/// many responses or max_slice has passed. Within one slice both versions see
+/// the same faults; over longer times the earlier versions avoid a slow zone
+/// and the canary cannot.
+constexpr std::chrono::seconds min_slice{2};
+constexpr std::chrono::seconds max_slice{10};
+constexpr unsigned full_slice = 60;
 
 /// A version is bad if the excess of its bad responses is this many standard
 /// deviations. The verdict is repeated several times a second over correlated
@@ -39,8 +44,10 @@
 /// Responses of the new version on a route that make a verdict possible.
 constexpr double min_responses = 20.0;
 
-/// Responses of the earlier versions in a zone that give a usable fraction.
-constexpr double min_base_responses = 10.0;
+/// Responses of the earlier versions that give a usable fraction: in a zone
+/// within a slice, and over a longer time.
+constexpr double min_slice_base = 5.0;
+constexpr double min_base = 10.0;
 
 double responses_of(const rollout_count& count, bool by_latency)
 {
@@ -52,35 +59,59 @@
     return by_latency ? count.slow : count.failed;
 }
 
-/// Sums over replicas and zones of one route.
-struct comparison
+/// The responses of the earlier versions on a route.
+template <typename Totals>
+rollout_count base_of_route(const Totals& counts, std::uint32_t route)
 {
-    double responses = 0;
-    double excess = 0;
-    double variance = 0;
-
-    void add(double count, double bad, double base_fraction, double base_count)
+    rollout_count result;
+    for (const auto& [key, count] : counts)
     {
-        this->responses += count;
-        this->excess += bad - count * base_fraction;
-        this->variance += count * base_fraction * (1 - base_fraction) *
-                          (1 + count / base_count);
+        if (std::get<0>(key) == route && std::get<2>(key) == 0)
+        {
+            result.add(count);
+        }
     }
+    return result;
+}
+
+/// The responses of the earlier versions on a route in a zone.
+template <typename Totals>
+rollout_count
+base_of_zone(const Totals& counts, std::uint32_t route, std::uint32_t zone)
+{
+    const auto found = counts.find({route, zone, 0});
+    return found == counts.end() ? rollout_count() : found->second;
+}
 
-    void subtract(const comparison& other)
+/// Chooses what the responses of a slice are compared with, nullopt if there is
+/// no measure.
+template <typename Totals>
+std::optional<rollout_count> choose_base(const Totals& slice,
+                                         const Totals& all,
+                                         std::uint32_t route,
+                                         std::uint32_t zone,
+                                         bool by_latency)
+{
+    const auto in_slice = base_of_zone(slice, route, zone);
+    if (responses_of(in_slice, by_latency) >= min_slice_base)
     {
-        this->responses -= other.responses;
-        this->excess -= other.excess;
-        this->variance -= other.variance;
+        return in_slice;
     }
-
-    [[nodiscard]] double deviations() const
+    const auto in_zone = base_of_zone(all, route, zone);
+    if (responses_of(in_zone, by_latency) < min_base)
     {
-        // One response more keeps few failures from being significant when the
-        // earlier versions have none.
-        return this->excess / std::sqrt(std::max(0.0, this->variance) + 1);
+        // Without earlier versions in the zone, its latency has no measure.
+        const auto in_route = base_of_route(all, route);
+        return by_latency || in_route.responses < min_base
+                   ? std::nullopt
+                   : std::optional(in_route);
     }
-};
+    // The earlier versions avoid the zone at present if they are used in
+    // others, and have no traffic during the shift.
+    const bool is_avoided =
+        responses_of(base_of_route(slice, route), by_latency) >= min_base;
+    return is_avoided ? std::nullopt : std::optional(in_zone);
+}
 
 } // namespace
 
@@ -113,167 +144,174 @@
     return result;
 }
 
+void rollout_judge::excess::add(const excess& other)
+{
+    this->responses += other.responses;
+    this->bad += other.bad;
+    this->variance += other.variance;
+}
+
+double rollout_judge::excess::deviations() const
+{
+    // One response more keeps few failures from being significant when the
+    // earlier versions have none.
+    return this->bad / std::sqrt(std::max(0.0, this->variance) + 1);
+}
+
 void rollout_judge::record(base::time_point now)
 {
-    if (!this->history.empty() &&
-        now - this->history.back().first < record_interval)
+    this->recorded_at = now;
+    if (this->slice_began == base::time_point{})
+    {
+        this->slice_began = now;
+    }
+    const auto length = now - this->slice_began;
+    if (length < min_slice)
+    {
+        return;
+    }
+    auto all = this->sum();
+    unsigned base_responses = 0;
+    for (const auto& [key, count] : all)
+    {
+        const auto before = this->slice_start.find(key);
+        base_responses += std::get<2>(key) != 0 ? 0
+                          : before == this->slice_start.end()
+                              ? count.responses
+                              : count.responses - before->second.responses;
+    }
+    if (base_responses < full_slice && length < max_slice)
     {
         return;
     }
-    this->history.emplace_back(now, this->sum());
-    while (now - this->history.front().first > recent_periods.back())
+    auto ended = this->compare_slice(all);
+    for (const auto& [key, found] : ended)
+    {
+        this->earlier_slices[key].add(found);
+    }
+    this->recent_slices.emplace_back(now, std::move(ended));
+    while (now - this->recent_slices.front().first > recent_periods.back())
     {
-        this->history.pop_front();
+        this->recent_slices.pop_front();
     }
+    this->slice_start = std::move(all);
+    this->slice_began = now;
 }
 
-rollout_verdict rollout_judge::verdict() const
+rollout_judge::excesses rollout_judge::compare_slice(const totals& all) const
 {
-    const auto all = this->sum();
-    auto result = rollout_verdict::undecided;
-    std::vector<totals> periods{all};
-    for (const auto& period : recent_periods)
+    auto slice = all;
+    for (const auto& [key, before] : this->slice_start)
     {
-        const auto start = std::find_if(
-            this->history.begin(),
-            this->history.end(),
-            [&](const auto& item)
-            {
-                return this->history.back().first - item.first <= period;
-            });
-        if (start == this->history.end())
-        {
-            continue;
-        }
-        auto recent = all;
-        for (const auto& [key, before] : start->second)
-        {
-            auto& count = recent[key];
-            count.responses -= before.responses;
-            count.failed -= before.failed;
-            count.timed -= before.timed;
-            count.slow -= before.slow;
-        }
-        periods.push_back(std::move(recent));
+        auto& count = slice[key];
+        count.responses -= before.responses;
+        count.failed -= before.failed;
+        count.timed -= before.timed;
+        count.slow -= before.slow;
     }
-    for (const auto& recent : periods)
+    excesses result;
+    for (const auto& [key, count] : slice)
     {
+        const auto [route, zone, replica] = key;
         for (const bool by_latency : {false, true})
         {
-            const auto found = compare(recent, all, by_latency);
-            if (found == rollout_verdict::bad)
+            const auto base =
+                replica == 0 ? std::nullopt
+                             : choose_base(slice, all, route, zone, by_latency);
+            if (!base)
             {
-                return found;
-            }
-            if (found == rollout_verdict::good)
-            {
-                result = found;
+                continue;
             }
+            // Half a response more, so that a fraction of 0 is not certain.
+            const double base_count = responses_of(*base, by_latency) + 1;
+            const double fraction =
+                std::min(1.0, (bad_of(*base, by_latency) + 0.5) / base_count);
+            const double responses = responses_of(count, by_latency);
+            result[{by_latency, route, replica}].add(
+                {.responses = responses,
+                 .bad = bad_of(count, by_latency) - responses * fraction,
+                 .variance = responses * fraction * (1 - fraction) *
+                             (1 + responses / base_count)});
         }
     }
     return result;
 }
 
-rollout_verdict
-rollout_judge::compare(const totals& recent, const totals& all, bool by_latency)
+rollout_verdict rollout_judge::verdict() const
 {
-    std::set<std::uint32_t> routes;
-    for (const auto& [key, count] : recent)
+    const auto present = this->compare_slice(this->sum());
+    std::vector<excesses> periods{present};
+    for (const auto& [key, found] : this->earlier_slices)
     {
-        routes.insert(std::get<0>(key));
+        periods.front()[key].add(found);
     }
-    auto result = rollout_verdict::undecided;
-    for (const auto route : routes)
+    for (const auto& length : recent_periods)
     {
-        double responses = 0;
-        if (is_bad(recent, all, route, by_latency, responses))
+        auto period = present;
+        for (const auto& [ended_at, slice] : this->recent_slices)
         {
-            return rollout_verdict::bad;
+            if (this->recorded_at - ended_at > length)
+            {
+                continue;
+            }
+            for (const auto& [key, found] : slice)
+            {
+                period[key].add(found);
+            }
         }
-        if (responses >= min_responses)
+        periods.push_back(std::move(period));
+    }
+    auto result = rollout_verdict::undecided;
+    for (const auto& period : periods)
+    {
+        const auto found = judge(period);
+        if (found == rollout_verdict::bad)
         {
-            result = rollout_verdict::good;
+            return found;
         }
+        result = found == rollout_verdict::good ? found : result;
     }
     return result;
 }
 
-bool rollout_judge::is_bad(const totals& recent,
-                           const totals& all,
-                           std::uint32_t route,
-                           bool by_latency,
-                           double& responses)
+rollout_verdict rollout_judge::judge(const excesses& period)
 {
-    rollout_count route_base;
-    for (const auto& [key, count] : all)
+    std::map<std::pair<bool, std::uint32_t>, excess> by_route;
+    std::map<std::pair<bool, std::uint32_t>, excess> worst_by_route;
+    for (const auto& [key, found] : period)
     {
-        if (std::get<0>(key) == route && std::get<2>(key) == 0)
-        {
-            route_base.add(count);
-        }
+        const std::pair route(std::get<0>(key), std::get<1>(key));
+        by_route[route].add(found);
+        auto& worst = worst_by_route.try_emplace(route, found).first->second;
+        worst = found.bad > worst.bad ? found : worst;
     }
-    const auto base_of = [&](std::uint32_t zone) -> std::optional<rollout_count>
+    auto result = rollout_verdict::undecided;
+    for (const auto& [route, total] : by_route)
     {
-        // The recent figures of the zone, so that a fault that affects both
-        // versions is seen in both; otherwise those of the whole roll-out.
-        for (const auto* source : {&recent, &all})
+        if (total.responses >= min_responses)
         {
-            const auto found = source->find({route, zone, 0});
-            if (found != source->end() &&
-                responses_of(found->second, by_latency) >= min_base_responses)
-            {
-                return found->second;
-            }
+            result = rollout_verdict::good;
         }
-        // Without earlier versions in the zone, its latency has no measure.
-        return by_latency ? std::nullopt : std::optional(route_base);
-    };
-    comparison route_total;
-    std::map<std::uint32_t, comparison> by_replica;
-    for (const auto& [key, count] : recent)
-    {
-        const auto [count_route, zone, replica] = key;
-        if (count_route != route || replica == 0)
+        const bool is_excess =
+            total.bad >= min_excess &&
+            total.bad >= min_excess_fraction * total.responses &&
+            total.deviations() >= bad_deviations;
+        if (!is_excess)
         {
             continue;
         }
-        const auto base = base_of(zone);
-        if (!base)
+        // One faulty replica is no fault of its version.
+        const auto& worst = worst_by_route.at(route);
+        const excess others{.responses = total.responses - worst.responses,
+                            .bad = total.bad - worst.bad,
+                            .variance = total.variance - worst.variance};
+        if (others.responses < min_other_responses ||
+            others.deviations() >= remaining_deviations)
         {
-            continue;
+            return rollout_verdict::bad;
         }
-        // Half a response more, so that a fraction of 0 is not certain.
-        const double base_count = responses_of(*base, by_latency) + 1;
-        const double base_fraction =
-            (bad_of(*base, by_latency) + 0.5) / base_count;
-        const double own_count = responses_of(count, by_latency);
-        const double own_bad = bad_of(count, by_latency);
-        route_total.add(
-            own_count, own_bad, std::min(1.0, base_fraction), base_count);
-        by_replica[replica].add(
-            own_count, own_bad, std::min(1.0, base_fraction), base_count);
-    }
-    responses = route_total.responses;
-    const bool is_excess =
-        route_total.excess >= min_excess &&
-        route_total.excess >= min_excess_fraction * route_total.responses &&
-        route_total.deviations() >= bad_deviations;
-    if (!is_excess)
-    {
-        return false;
     }
-    // One faulty replica is no fault of its version.
-    const auto worst =
-        std::max_element(by_replica.begin(),
-                         by_replica.end(),
-                         [](const auto& left, const auto& right)
-                         {
-                             return left.second.excess < right.second.excess;
-                         });
-    auto others = route_total;
-    others.subtract(worst->second);
-    return others.responses < min_other_responses ||
-           others.deviations() >= remaining_deviations;
+    return result;
 }
 
 std::uint64_t rollout_judge::bad_responses() const
--- a/src/core/relay/rollout_judge.hpp
+++ b/src/core/relay/rollout_judge.hpp
@@ -27,9 +27,9 @@
 /// @brief Merges the counts of all nodes for one order and compares the new
 ///        version with the earlier ones on each route and in each zone.
 ///
-/// Comparison within a route and a zone keeps a slow zone, or a route with
-/// failures of its own, from counting against the new version. The recent past
-/// is also judged by itself, as a version may become bad later.
+/// Comparison within a route, a zone and a short time keeps a slow zone, or a
+/// route with failures of its own, from counting against the new version. The
+/// recent past is also judged by itself, as a version may become bad later.
 class rollout_judge
 {
   public:
@@ -41,8 +41,8 @@
                    std::uint64_t incarnation,
                    const std::vector<rollout_count>& counts);
 
-    /// @brief Records the present totals, to judge later periods by
-    ///        themselves; to be called several times a second.
+    /// @brief Divides the time into slices that are compared by themselves; to
+    ///        be called several times a second.
     void record(base::time_point now);
 
     /// @brief The verdict on all responses and on those of recent periods.
@@ -56,17 +56,32 @@
     using group = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
     using totals = std::map<group, rollout_count>;
 
+    /// Bad responses beyond those expected from the earlier versions.
+    struct excess
+    {
+        double responses = 0;
+        double bad = 0;
+        double variance = 0;
+
+        void add(const excess& other);
+        [[nodiscard]] double deviations() const;
+    };
+
+    /// Whether latencies are compared, route and replica.
+    using excess_key = std::tuple<bool, std::uint32_t, std::uint32_t>;
+    using excesses = std::map<excess_key, excess>;
+
     [[nodiscard]] totals sum() const;
-    [[nodiscard]] static rollout_verdict
-    compare(const totals& recent, const totals& all, bool by_latency);
-    [[nodiscard]] static bool is_bad(const totals& recent,
-                                     const totals& all,
-                                     std::uint32_t route,
-                                     bool by_latency,
-                                     double& responses);
+    /// Compares the responses since the slice began.
+    [[nodiscard]] excesses compare_slice(const totals& all) const;
+    [[nodiscard]] static rollout_verdict judge(const excesses& period);
 
     std::map<std::pair<std::string, std::uint64_t>, totals> counts_by_node;
-    std::deque<std::pair<base::time_point, totals>> history;
+    totals slice_start; ///< totals when the slice began
+    base::time_point slice_began{};
+    base::time_point recorded_at{};
+    excesses earlier_slices; ///< sum over all ended slices
+    std::deque<std::pair<base::time_point, excesses>> recent_slices;
 };
 
 } // namespace hawthornrelay::core::relay
--- a/tests/relay/test_rollouts.cpp
+++ b/tests/relay/test_rollouts.cpp
@@ -256,6 +256,7 @@
 {
     bool is_bad = false;
     duration latency = 10ms;
+    bool is_usual = false; ///< a failure that v1 has as well
 };
 
 /// What a replica does with a request of a route at a time since the order.
@@ -357,7 +358,9 @@
         record.id = version + "-" + std::to_string(i);
         record.service = "s";
         record.address = "10.0.0.1:80";
-        record.zone = i % 2 == 0 ? "here" : "there";
+        // Most replicas of v2 are in the zone that a test makes slow.
+        const bool is_near = version == "v1" ? i % 2 == 0 : i == 0;
+        record.zone = is_near ? "here" : "there";
         record.version = version;
         record.slots = 8;
         record.started_at = 1;
@@ -517,7 +520,7 @@
         {
             this->arrivals.emplace_back(now, target.version);
         }
-        if (answer.is_bad && target.version == "v2")
+        if (answer.is_bad && !answer.is_usual && target.version == "v2")
         {
             this->bad_at.push_back(now + answer.latency);
         }
@@ -676,6 +679,23 @@
     run_bad(failing(40, duration(0), "two"));
 }
 
+// Guards against a comparison over all routes, in which the failures of one
+// route hide those of another.
+BOOST_AUTO_TEST_CASE(bad_on_one_route_beside_failures_of_another)
+{
+    const auto bad = failing(30, duration(0), "two");
+    const auto counter = std::make_shared<unsigned>(0);
+    run_bad(
+        [bad, counter](const relay::replica_record& target,
+                       const std::string& route,
+                       duration age) -> response
+        {
+            const bool is_failing = route == "one" && ++*counter % 4 == 0;
+            return is_failing ? response{true, 10ms, true}
+                              : bad(target, route, age);
+        });
+}
+
 BOOST_AUTO_TEST_CASE(several_times_slower)
 {
     const auto counter = std::make_shared<unsigned>(0);
@@ -715,6 +735,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(verdicts)
+
+namespace
+{
+
+relay::rollout_count row(std::uint32_t zone,
+                         std::uint32_t replica,
+                         std::uint32_t responses,
+                         std::uint32_t failed)
+{
+    return {.service = 1,
+            .order = 1,
+            .route = 1,
+            .zone = zone,
+            .replica = replica,
+            .responses = responses,
+            .failed = failed};
+}
+
+relay::rollout_verdict
+verdict_on(const std::vector<relay::rollout_count>& counts)
+{
+    relay::rollout_judge judge;
+    judge.on_counts("n", 1, counts);
+    return judge.verdict();
+}
+
+} // namespace
+
+// Guards against a verdict on the version because of one replica.
+BOOST_AUTO_TEST_CASE(one_replica_is_not_the_version)
+{
+    const auto base = row(1, 0, 1000, 5);
+    const auto faulty = row(1, 2, 40, 20);
+    BOOST_TEST((verdict_on({base, faulty, row(1, 3, 100, 0)}) ==
+                relay::rollout_verdict::good));
+    BOOST_TEST((verdict_on({base, faulty, row(1, 3, 40, 10)}) ==
+                relay::rollout_verdict::bad));
+    BOOST_TEST((verdict_on({base, faulty}) == relay::rollout_verdict::bad));
+}
+
+BOOST_AUTO_TEST_CASE(zones_are_compared_by_themselves)
+{
+    const auto near = row(1, 0, 1000, 5);
+    const auto far = row(2, 0, 100, 40);
+    BOOST_TEST((verdict_on({near, far, row(2, 3, 60, 25)}) ==
+                relay::rollout_verdict::good));
+    BOOST_TEST((verdict_on({near, far, row(1, 3, 60, 25)}) ==
+                relay::rollout_verdict::bad));
+    BOOST_TEST((verdict_on({near, row(1, 3, 5, 0)}) ==
+                relay::rollout_verdict::undecided));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(good_versions)
 
 BOOST_AUTO_TEST_CASE(good_is_completed)
@@ -723,6 +798,10 @@
     simulation.loop.run_for(2s);
     simulation.order("v2", 30s);
     simulation.loop.run_for(35s);
+    const auto at = simulation.ordered_at;
+    const auto canary = simulation.count("v2", at, at + 20s);
+    BOOST_TEST(canary > 100U);
+    BOOST_TEST(canary <= simulation.count("v1", at, at + 20s) / 10 + 50);
     simulation.check_good_is_completed();
 }
 
@@ -950,6 +1029,11 @@
     simulation.order("v2", 30s);
     simulation.loop.run_for(35s);
     simulation.check_good_is_completed();
+    // v1 is no version of the next order, though its replicas are registered.
+    simulation.order("v3", 30s);
+    simulation.loop.run_for(5s);
+    BOOST_TEST(simulation.count(
+                   "v1", simulation.ordered_at, simulation.loop.now()) == 0U);
     // Back to the first version while v2 carries the traffic.
     simulation.order("v1", 30s);
     simulation.loop.run_for(10s);
