Roll-outs: keep a part of the requests on the earlier versions in the shift

Change: one request in ten stays with the earlier versions in the shift, and only concurrent responses are compared. The stage drain after it moves all requests before completion.

--- a/src/adapters/relay/beacon_socket.cpp
+++ b/src/adapters/relay/beacon_socket.cpp
@@ -42,7 +42,7 @@
             // An unknown stage of a later version gives no permission.
             const auto stage =
                 grant->stage() <=
-                        static_cast<unsigned>(core::relay::rollout_stage::shift)
+                        static_cast<unsigned>(core::relay::rollout_stage::drain)
                     ? static_cast<core::relay::rollout_stage>(grant->stage())
                     : core::relay::rollout_stage::hold;
             result.grants.push_back(
--- a/src/core/relay/rollout.hpp
+++ b/src/core/relay/rollout.hpp
@@ -47,7 +47,8 @@
 {
     hold,   ///< none
     canary, ///< a part of the share
-    shift,  ///< all of it, shortly before completion
+    shift,  ///< most of it, to compare the versions under this load
+    drain,  ///< all of it, until the earlier versions have sent their responses
 };
 
 /// @brief The decider's permission to send to the target version. It lapses
@@ -61,7 +62,7 @@
     base::duration age{};       ///< since the decider issued it
     base::duration order_age{}; ///< since a node first knew the order
     /// Sends to the earlier versions that the sender of the message waits for;
-    /// max_pending if it has not reached `stage` shift.
+    /// the largest number if it has not reached the stage drain.
     std::uint32_t pending = 0;
 };
 
--- a/src/core/relay/rollout_control.cpp
+++ b/src/core/relay/rollout_control.cpp
@@ -14,12 +14,16 @@
 /// bad later. The rest is for the replacement of a decider.
 constexpr double observed_fraction = 0.7;
 
-/// All traffic goes to the new version for this part of the duration before
+/// Most traffic goes to the new version for this part of the duration before
 /// completion, and for no longer than max_shift. Together with the canary's
 /// part of the share, this stays below the bound for a bad version.
 constexpr double shift_fraction = 0.05;
 constexpr std::chrono::seconds max_shift{3};
 
+/// Standbys hear of the stage within the least time.
+constexpr std::chrono::milliseconds min_drain{600};
+constexpr std::chrono::milliseconds max_drain{2000};
+
 /// The stored age of an order is at most this part of its duration old.
 constexpr double refresh_fraction = 0.1;
 
@@ -83,6 +87,7 @@
     if (!is_observed || !view.has_target_replica)
     {
         this->shift_began_at.reset();
+        this->drain_began_at.reset();
         this->current_stage = rollout_stage::canary;
         return;
     }
@@ -90,11 +95,19 @@
     {
         this->shift_began_at = view.age;
     }
-    this->current_stage = rollout_stage::shift;
-    const auto shifted_for = view.age - *this->shift_began_at;
-    // A node that is silent does not delay completion beyond max_shift.
-    if (shifted_for >=
-        (view.is_shifted ? this->shift_time() : base::duration(max_shift)))
+    if (view.age - *this->shift_began_at < this->shift_time())
+    {
+        this->current_stage = rollout_stage::shift;
+        return;
+    }
+    if (!this->drain_began_at)
+    {
+        this->drain_began_at = view.age;
+    }
+    this->current_stage = rollout_stage::drain;
+    const auto drained_for = view.age - *this->drain_began_at;
+    // A node that is silent does not delay completion beyond max_drain.
+    if (drained_for >= (view.is_drained ? min_drain : max_drain))
     {
         this->wanted = rollout_state::completed;
     }
--- a/src/core/relay/rollout_control.hpp
+++ b/src/core/relay/rollout_control.hpp
@@ -34,7 +34,7 @@
     bool has_target_replica = false; ///< one that can get requests
     /// All entries have moved their traffic and got their last responses from
     /// the earlier versions.
-    bool is_shifted = false;
+    bool is_drained = false;
     bool is_withdrawn = false; ///< the order was removed
 };
 
@@ -85,6 +85,7 @@
     std::optional<rollout_state> wanted;
     bool has_rejected = false;
     std::optional<base::duration> shift_began_at; ///< age of the order
+    std::optional<base::duration> drain_began_at; ///< age of the order
 };
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/rollout_judge.cpp
+++ b/src/core/relay/rollout_judge.cpp
@@ -106,11 +106,9 @@
                    ? std::nullopt
                    : std::optional(in_route);
     }
-    // The earlier versions avoid the zone at present if they are used in
-    // others, and have no traffic during the shift.
-    const bool is_avoided =
-        responses_of(base_of_route(slice, route), by_latency) >= min_base;
-    return is_avoided ? std::nullopt : std::optional(in_zone);
+    // The earlier versions avoid the zone at present, or have no traffic. Their
+    // responses of another time do not show what faults there are now.
+    return std::nullopt;
 }
 
 } // namespace
--- a/src/core/relay/rollout_manager.cpp
+++ b/src/core/relay/rollout_manager.cpp
@@ -43,8 +43,8 @@
 /// replicas have stopped.
 constexpr std::chrono::seconds announcement_time{10};
 
-/// In a message: the node has not reached the stage shift.
-constexpr std::uint32_t not_shifted = std::numeric_limits<std::uint32_t>::max();
+/// In a message: the node has not reached the stage drain.
+constexpr std::uint32_t not_drained = std::numeric_limits<std::uint32_t>::max();
 
 std::string_view name_of(rollout_state state)
 {
@@ -483,7 +483,7 @@
                        });
 }
 
-bool rollout_manager::is_shifted(const rollout& item) const
+bool rollout_manager::is_drained(const rollout& item) const
 {
     const auto now = this->runtime.now();
     return item.share.pending_to_base() == 0 &&
@@ -519,7 +519,7 @@
          .verdict = item.is_bad ? rollout_verdict::bad : item.judge.verdict(),
          .has_target_replica =
              this->has_target_replica(service, order.target_version),
-         .is_shifted = this->is_shifted(item),
+         .is_drained = this->is_drained(item),
          .is_withdrawn = is_withdrawn},
         share.has_status_of_order() ? std::optional(share.status()->state)
                                     : std::nullopt);
@@ -637,9 +637,9 @@
     auto state = item.share.last_grant(now).value_or(rollout_grant{});
     state.order = item.share.order()->revision;
     state.order_age = item.share.order_age(now);
-    state.pending = item.share.stage(now) == rollout_stage::shift
+    state.pending = item.share.stage(now) == rollout_stage::drain
                         ? item.share.pending_to_base()
-                        : not_shifted;
+                        : not_drained;
     return state;
 }
 
@@ -659,7 +659,7 @@
         state.service = base::hash_of(service);
         if (is_announced)
         {
-            state.stage = rollout_stage::shift;
+            state.stage = rollout_stage::drain;
             state.age = {};
         }
         result.grants.push_back(state);
--- a/src/core/relay/rollout_manager.hpp
+++ b/src/core/relay/rollout_manager.hpp
@@ -137,7 +137,7 @@
                      const std::string& version) const;
     [[nodiscard]] bool has_target_replica(const std::string& service,
                                           const std::string& version) const;
-    [[nodiscard]] bool is_shifted(const rollout& item) const;
+    [[nodiscard]] bool is_drained(const rollout& item) const;
     void set_status(rollout& item, std::optional<rollout_status> status);
     void step(const std::string& service, rollout& item);
     void write(const std::string& service, rollout& item, rollout_state state);
--- a/src/core/relay/rollout_share.cpp
+++ b/src/core/relay/rollout_share.cpp
@@ -23,6 +23,10 @@
 /// the new version gets all requests for up to a twentieth of the duration.
 constexpr double canary_fraction = 0.4;
 
+/// One send in this many goes to the earlier versions during the shift, so that
+/// a fault which begins then is seen in both.
+constexpr std::uint64_t control_interval = 10;
+
 /// Part of the slack that nodes use. A node that restarts may use its portion
 /// again.
 constexpr double slack_fraction = 0.5;
@@ -258,8 +262,11 @@
         return {std::move(target), {}};
     }
     const auto in_force = this->stage(now);
+    const bool is_control =
+        in_force == rollout_stage::shift && this->sends % control_interval == 0;
     const bool is_admitted =
-        in_force == rollout_stage::shift ||
+        in_force == rollout_stage::drain ||
+        (in_force == rollout_stage::shift && !is_control) ||
         (in_force == rollout_stage::canary && this->has_share());
     if (!is_admitted)
     {
--- a/tests/relay/test_rollouts.cpp
+++ b/tests/relay/test_rollouts.cpp
@@ -840,6 +840,25 @@
     BOOST_TEST((simulation.states.back() == rollout_state::completed));
 }
 
+// Guards against a comparison with responses of another time: the shift begins
+// 21 s after the order.
+BOOST_AUTO_TEST_CASE(good_beside_a_fault_that_begins_in_the_shift)
+{
+    const auto counter = std::make_shared<unsigned>(0);
+    rollout_simulation simulation(
+        [counter](const relay::replica_record& target,
+                  const std::string&,
+                  duration age) -> response
+        {
+            return {target.zone == "there" && age > 20500ms &&
+                    ++*counter % 3 == 0};
+        });
+    simulation.loop.run_for(2s);
+    simulation.order("v2", 30s);
+    simulation.loop.run_for(35s);
+    BOOST_TEST((simulation.states.back() == rollout_state::completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(faults)
