Slow start: learn a replica's share from its responses

Cause: a replica that starts or returns looks best to all nodes at once, since it has no requests and no slow answers yet. Change: replica_pace, owned by replica_health, gives it 1/16 of its usual requests, doubles that every 500 ms, halves it on answers that show a queue as long as its slots or unexplained slowness that rises with the share, and grows slowly above half of the share at which it ended. choose() adds 3 to the cost of a replica that its draw defers, so that no request is refused for it; the bounds on cold replicas are unchanged. It takes effect only where replicas report the fourth figure of X-Replica-Load.

The fleet model of the tests now sends requests that are not hedged, since it cannot cancel work.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -13,6 +13,7 @@
 #include <adapters/relay/peer_feed.hpp>
 #include <adapters/relay/replica_pool.hpp>
 #include <adapters/relay/store_change_handler.hpp>
+#include <core/base/hash.hpp>
 #include <core/relay/entry_choice.hpp>
 #include <core/relay/quarantine_writer.hpp>
 #include <core/relay/request_engine.hpp>
@@ -65,6 +66,7 @@
     result.is_extra_history_known = settings.is_first_start;
     result.cold_overshoot = settings.cold_overshoot;
     result.cold_slack = settings.cold_slack;
+    result.seed = core::base::hash_of(settings.node_name);
     return result;
 }
 
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -128,6 +128,10 @@
     event_row{
         log_event::quarantine_ignored, "quarantine_ignored", log_level::info},
     event_row{log_event::handler_failed, "handler_failed", log_level::error},
+    event_row{log_event::slow_start_begun, "slow_start_begun", log_level::info},
+    event_row{
+        log_event::slow_start_reduced, "slow_start_reduced", log_level::info},
+    event_row{log_event::slow_start_ended, "slow_start_ended", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -110,6 +110,9 @@
     send_unanswered = 1063,
     quarantine_ignored = 1064,
     handler_failed = 1065,
+    slow_start_begun = 1080,
+    slow_start_reduced = 1081,
+    slow_start_ended = 1082,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -37,6 +37,7 @@
     store_failures,
     directory_answers,
     handler_failures,
+    slow_start_deferrals,
     end
 };
 
@@ -64,7 +65,8 @@
                         "store_calls",
                         "store_failures",
                         "directory_answers",
-                        "handler_failures"};
+                        "handler_failures",
+                        "slow_start_deferrals"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -29,6 +29,10 @@
 /// A replica with this work factor gets few requests if others are usual.
 constexpr double slow_work = 1.5;
 
+/// A replica that gave no sign of life to this node for this long starts
+/// slowly.
+constexpr std::chrono::seconds long_silence{30};
+
 /// Bounds on the latency that the reported work does not explain.
 constexpr double min_unexplained = 0.1;
 constexpr double max_unexplained = 20;
@@ -66,8 +70,36 @@
     return this->baseline + (this->value - this->baseline) * remaining;
 }
 
+void replica_health::on_started(const replica_pace& earlier, time_point now)
+{
+    this->slow_start = earlier;
+    this->slow_start.begin(now);
+}
+
+void replica_health::on_suspicion(bool was_suspect, time_point now)
+{
+    if (!this->reports_work() || was_suspect == this->is_suspect())
+    {
+        return;
+    }
+    if (was_suspect)
+    {
+        this->slow_start.begin(now);
+    }
+    else
+    {
+        this->slow_start.on_ended(now);
+    }
+}
+
 void replica_health::on_sent(std::uint64_t send, time_point now)
 {
+    const auto known_at = std::max(this->last_alive_at, this->silence_ended_at);
+    if (this->reports_work() && now - known_at >= long_silence)
+    {
+        this->silence_ended_at = now;
+        this->slow_start.begin_after_silence(now);
+    }
     this->in_flight[send] = now;
 }
 
@@ -77,6 +109,7 @@
                                time_point now)
 {
     this->in_flight.erase(send);
+    const bool was_suspect = this->is_suspect();
     const bool is_failure = result == send_result::broken ||
                             result == send_result::not_sent ||
                             result == send_result::abandoned ||
@@ -98,9 +131,17 @@
                            min_unexplained,
                            max_unexplained),
                 now);
+            this->slow_start.on_answer(
+                latency_ratio / *this->load.work_factor, this->load, now);
         }
         this->has_failed_check = false;
     }
+    else if (result != send_result::abandoned)
+    {
+        // An abandoned send may only have met a pause of the replica.
+        this->slow_start.on_rejected(now);
+    }
+    this->on_suspicion(was_suspect, now);
 }
 
 void replica_health::on_load(const replica_load& load, time_point now)
@@ -113,6 +154,7 @@
                               bool is_healthy,
                               time_point now)
 {
+    const bool was_suspect = this->is_suspect();
     this->has_failed_check = !has_answered;
     this->checked_at = now;
     if (has_answered)
@@ -123,6 +165,7 @@
     {
         this->failures_in_a_row = 0;
     }
+    this->on_suspicion(was_suspect, now);
 }
 
 bool replica_health::is_suspect() const
--- a/src/core/relay/replica_health.hpp
+++ b/src/core/relay/replica_health.hpp
@@ -8,6 +8,7 @@
 
 #include <core/base/time.hpp>
 #include <core/relay/replica_load.hpp>
+#include <core/relay/replica_pace.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -51,6 +52,11 @@
 class replica_health
 {
   public:
+    /// @brief Records that the replica has started.
+    /// @param earlier the pace of its previous incarnation, which has ended
+    /// @param now the current time
+    void on_started(const replica_pace& earlier, base::time_point now);
+
     /// @brief Records a send.
     /// @param send the send's number
     void on_sent(std::uint64_t send, base::time_point now);
@@ -124,7 +130,16 @@
     /// @brief The age of the oldest send in flight, zero if there is none.
     [[nodiscard]] base::duration oldest_wait(base::time_point now) const;
 
+    /// @brief The slow start of the replica.
+    [[nodiscard]] replica_pace& pace()
+    {
+        return this->slow_start;
+    }
+
   private:
+    /// Starts the replica slowly if it is no longer suspect, and records that
+    /// it has become suspect.
+    void on_suspicion(bool was_suspect, base::time_point now);
     [[nodiscard]] double load_weight(base::time_point now) const;
     /// Cost of the requests at the replica, for one that reports its work.
     [[nodiscard]] double queueing_cost(double slowness,
@@ -136,6 +151,8 @@
     decaying_mean unexplained_ratio{1.0};
     decaying_mean shed{0.0};
     decaying_mean failed{0.0};
+    replica_pace slow_start;
+    base::time_point silence_ended_at{};
     replica_load load;
     base::time_point load_at{};
     unsigned failures_in_a_row = 0;
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -26,6 +26,8 @@
 bool replica_registry::put(const replica_record& record, time_point now)
 {
     std::vector<time_point> recent_sends;
+    replica_pace earlier_pace;
+    const bool starts_slowly = this->reports_work(record.service);
     const auto known = this->replicas.find(record.id);
     if (known != this->replicas.end())
     {
@@ -52,12 +54,23 @@
         // Sends may have reached the new incarnation before its registration
         // arrived here, so they still count against the bound.
         recent_sends = std::move(known->second->recent_sends);
+        earlier_pace = known->second->health.pace();
+        const bool is_planned =
+            current.is_draining || known->second->is_leaving;
+        if (!is_planned && known->second->health.reports_work())
+        {
+            earlier_pace.on_ended(now);
+        }
         this->drop(record.id);
     }
     auto added = std::make_shared<replica>();
     added->recent_sends = std::move(recent_sends);
     added->record = record;
     added->health.on_alive(now);
+    if (starts_slowly)
+    {
+        added->health.on_started(earlier_pace, now);
+    }
     added->cold_until = now + record.warm_up_left;
     this->replicas[record.id] = added;
     this->by_service[record.service].push_back(added);
@@ -138,6 +151,18 @@
     return result;
 }
 
+bool replica_registry::reports_work(const std::string& service) const
+{
+    const auto found = this->by_service.find(service);
+    return found != this->by_service.end() &&
+           std::any_of(found->second.begin(),
+                       found->second.end(),
+                       [](const replica_ptr& other)
+                       {
+                           return other->health.reports_work();
+                       });
+}
+
 bool replica_registry::is_in_service(const replica& candidate,
                                      time_point now) const
 {
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -89,6 +89,8 @@
 
   private:
     void drop(const std::string& id);
+    /// Tells whether replicas of a service report how long work takes.
+    [[nodiscard]] bool reports_work(const std::string& service) const;
     /// Tells whether a replica may get requests when it asks for no pause.
     [[nodiscard]] bool is_in_service(const replica& candidate,
                                      base::time_point now) const;
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -1,6 +1,7 @@
 #include <core/relay/request_engine.hpp>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 
@@ -27,6 +28,11 @@
 /// Added cost of a suspect replica; high enough that it is a last resort.
 constexpr double suspect_cost = 100.0;
 
+/// Added cost of a replica whose slow start does not allow a request: above
+/// that of a loaded replica, below that of a stalled or suspect one, so that a
+/// request is not refused for it.
+constexpr double deferral_cost = 3.0;
+
 /// Fraction of the bound on cold replicas that the entries use, since sends
 /// spread over one second may arrive within less.
 constexpr double cold_safety_factor = 0.6;
@@ -55,7 +61,8 @@
     : settings(std::move(settings)), runtime(runtime), transport(transport),
       log(log), extras(this->settings.extras,
                        runtime.now(),
-                       this->settings.is_extra_history_known)
+                       this->settings.is_extra_history_known),
+      random(static_cast<std::minstd_rand::result_type>(this->settings.seed))
 {
 }
 
@@ -181,6 +188,7 @@
         {
             cost += suspect_cost;
         }
+        cost += this->pace_cost(*candidate);
         ranked.emplace_back(cost, candidate);
         this->refresh_load(candidate);
     }
@@ -222,6 +230,34 @@
     }
 }
 
+double request_engine::pace_cost(replica& target)
+{
+    auto& pace = target.health.pace();
+    const double share = pace.share(this->runtime.now());
+    if (const auto step = pace.take_step())
+    {
+        static constexpr std::array<base::log_event, 3> events{
+            base::log_event::slow_start_begun,
+            base::log_event::slow_start_reduced,
+            base::log_event::slow_start_ended};
+        this->log.write(events.at(static_cast<std::size_t>(*step)),
+                        {{"replica", target.record.id},
+                         {"service", target.record.service},
+                         {"share", fmt::format("{:.3f}", share)}});
+    }
+    if (share >= 1)
+    {
+        return 0;
+    }
+    std::uniform_real_distribution<double> draw;
+    if (draw(this->random) < share)
+    {
+        return 0;
+    }
+    this->counters.add(relay_counter::slow_start_deferrals);
+    return deferral_cost;
+}
+
 double request_engine::cold_rate(const replica& target) const
 {
     if (this->config == nullptr)
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     /// sends per second.
     double cold_overshoot = 1.5;
     double cold_slack = 5;
+    /// Makes the random choices of nodes differ.
+    std::uint64_t seed = 0;
 };
 
 /// @brief A caller's request and its timing.
@@ -178,6 +181,8 @@
     /// Asks a replica that gets no requests since its work was slow whether it
     /// still is.
     void refresh_load(const replica_ptr& target);
+    /// @return the added cost of a replica that gets only a share of requests
+    double pace_cost(replica& target);
     void detect_process_pause();
     /// Checks whether a replica has ended that left a send without an answer.
     void on_unanswered(const replica_ptr& target, unanswered_send send);
@@ -229,6 +234,7 @@
         active_requests;
     std::uint64_t next_request = 1;
     std::uint64_t rotation = 0;
+    std::minstd_rand random;
 };
 
 } // namespace hawthornrelay::core::relay
--- a/tests/support/relay_fleet.hpp
+++ b/tests/support/relay_fleet.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include <core/base/hash.hpp>
 #include <support/relay_simulation.hpp>
 
 namespace hawthornrelay::tests::support
@@ -81,7 +82,10 @@
                           const std::string& request)
             {
                 return this->behaviour(index, replica, request);
-            });
+            },
+            20,
+            56,
+            core::base::hash_of("node", index));
     }
 
     script behaviour;
--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -190,11 +190,13 @@
 {
     /// @param slack extra sends that the nodes of the site may make besides
     ///        the ratio
+    /// @param seed makes the random choices of nodes differ
     explicit relay_simulation(scripted_replicas::script script,
                               std::size_t shards = 20,
-                              double slack = 56)
+                              double slack = 56,
+                              std::uint64_t seed = 0)
         : runtime(loop), replicas(loop, std::move(script)),
-          engine(settings(slack), runtime, replicas, log)
+          engine(settings(slack, seed), runtime, replicas, log)
     {
         auto initial = std::make_shared<relay::configuration>();
         initial->version = 1;
@@ -236,11 +238,12 @@
         this->engine.set_configuration(initial);
     }
 
-    static relay::engine_settings settings(double slack)
+    static relay::engine_settings settings(double slack, std::uint64_t seed = 0)
     {
         relay::engine_settings result;
         result.zone = "here";
         result.extras.slack = slack;
+        result.seed = seed;
         result.is_extra_history_known = true;
         return result;
     }
--- a/tests/support/shared_replicas.hpp
+++ b/tests/support/shared_replicas.hpp
@@ -15,7 +15,8 @@
 {
 
 /// @brief The replicas of service `book` in front of several nodes, under a
-///        random load of lookups.
+///        random load of requests that are sent once, so that only the choice
+///        of replicas matters.
 class shared_replicas
 {
   public:
@@ -83,7 +84,7 @@
         return this->machines.at(id_of(index));
     }
 
-    /// Starts lookups at random nodes for a time.
+    /// Starts requests at random nodes for a time.
     void run(double per_second, duration length)
     {
         const auto end = this->fleet.now() + length;
@@ -95,7 +96,7 @@
             for (int left = arrivals(this->random); left > 0; --left)
             {
                 this->fleet.nodes[node(this->random)]->start(
-                    "q" + std::to_string(this->sent++), "/l/x", 1500ms);
+                    "q" + std::to_string(this->sent++), "/b/x", 1500ms);
             }
             this->fleet.run_for(1ms);
             if (this->on_step)
