--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -13,6 +13,7 @@
 #include <adapters/relay/peer_feed.hpp>
 #include <adapters/relay/replica_pool.hpp>
 #include <adapters/relay/store_change_handler.hpp>
+#include <core/base/hash.hpp>
 #include <core/relay/entry_choice.hpp>
 #include <core/relay/quarantine_writer.hpp>
 #include <core/relay/request_engine.hpp>
@@ -70,6 +71,7 @@
     result.quota_window = settings.quota_window;
     result.quota_overshoot = settings.quota_overshoot;
     result.quota_slack = settings.quota_slack;
+    result.seed = core::base::hash_of(settings.node_name);
     return result;
 }
 
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -151,6 +151,10 @@
               log_level::warning},
     event_row{log_event::overload_began, "overload_began", log_level::warning},
     event_row{log_event::overload_ended, "overload_ended", log_level::info},
+    event_row{log_event::slow_start_begun, "slow_start_begun", log_level::info},
+    event_row{
+        log_event::slow_start_reduced, "slow_start_reduced", log_level::info},
+    event_row{log_event::slow_start_ended, "slow_start_ended", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -122,6 +122,9 @@
     rollout_unreadable = 1092,
     overload_began = 1098,
     overload_ended = 1099,
+    slow_start_begun = 1080,
+    slow_start_reduced = 1081,
+    slow_start_ended = 1082,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -42,6 +42,7 @@
     rollouts_completed,
     rollouts_rolled_back,
     overload_refusals,
+    slow_start_deferrals,
     end
 };
 
@@ -74,7 +75,8 @@
                         "target_version_sends",
                         "rollouts_completed",
                         "rollouts_rolled_back",
-                        "overload_refusals"};
+                        "overload_refusals",
+                        "slow_start_deferrals"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
