Untrusted clients: one account of their memory and descriptors

Cause: unfinished bodies, many fields, pipelined requests and idle connections used memory and descriptors without a bound over all listeners; each pipelined request read 4 KiB more than it consumed.

Change: core::relay::client_budget charges connections, buffers, fields, bodies, running requests and responses before they are allocated, and selects whom to close. The HTTP server charges its sessions; `serve` passes no budget.

--- a/src/adapters/http/request_parser.hpp
+++ b/src/adapters/http/request_parser.hpp
@@ -4,8 +4,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -23,8 +25,41 @@
   public:
     using error_code = boost::beast::error_code;
 
+    /// @brief Asked before memory is allocated.
+    /// @param total the bytes that the request will take in all
+    /// @return false to refuse the request
+    using allocation_check = std::function<bool(std::size_t total)>;
+
     request_parser() = default;
 
+    /// @brief Limits what a request allocates.
+    /// @param check asked before each allocation
+    /// @param max_fields the number of header fields; a larger one fails with
+    ///        header_limit
+    void limit_allocation(allocation_check check, std::size_t max_fields)
+    {
+        this->may_allocate = std::move(check);
+        this->max_fields = max_fields;
+    }
+
+    /// @brief The memory that the request takes.
+    [[nodiscard]] std::size_t allocated() const
+    {
+        return this->allocated_bytes;
+    }
+
+    /// @brief True after an allocation was refused.
+    [[nodiscard]] bool is_out_of_memory() const
+    {
+        return this->is_refused;
+    }
+
+    /// @brief True after a header had too many fields.
+    [[nodiscard]] bool has_too_many_fields() const
+    {
+        return this->result.fields.size() >= this->max_fields;
+    }
+
     /// @brief What has been parsed so far.
     [[nodiscard]] const request& parsed() const
     {
@@ -71,6 +106,12 @@
                                    error_code& error) override;
     void on_finish_impl(error_code& error) override;
 
+    bool allocate(std::size_t bytes, error_code& error);
+
+    allocation_check may_allocate;
+    std::size_t max_fields = SIZE_MAX;
+    std::size_t allocated_bytes = 0;
+    bool is_refused = false;
     request result;
     unsigned http_version = 11;
     bool has_header = false;
--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -26,6 +26,8 @@
 namespace bhttp = boost::beast::http;
 using boost::asio::ip::tcp;
 using core::base::result_code;
+using core::relay::client_closure;
+using core::relay::client_phase;
 
 namespace
 {
@@ -38,6 +40,29 @@
 
 constexpr std::size_t read_size_bytes = 4U << 10U;
 
+/// The receive buffer of charged connections in the kernel. It holds what a
+/// client has sent and the server does not read.
+constexpr int receive_buffer_bytes = 64 << 10;
+
+/// What a request uses in the process while it waits for its response, besides
+/// its own bytes.
+constexpr std::size_t handling_bytes = 8U << 10U;
+
+/// Progress is recorded after each write of at most this size.
+constexpr std::size_t max_write_bytes = 64U << 10U;
+
+/// A request that holds less is closed instead of refused, which uses memory.
+constexpr std::size_t min_freed_bytes = 2U << 10U;
+
+/// Unused buffers of connections without a request are kept up to this size.
+constexpr std::size_t max_kept_buffer_bytes = 8U << 10U;
+
+/// Size of the end of a header.
+constexpr std::string_view header_end = "\r\n\r\n";
+
+/// Shortest field line, `a:` and a line break.
+constexpr std::size_t min_field_bytes = 4;
+
 /// Wait for the request on a connection that was accepted as the listener
 /// closed: longer than a caller's round trip.
 constexpr std::chrono::milliseconds first_request_wait{200};
@@ -65,8 +90,10 @@
   public:
     beast_server(boost::asio::io_context& io,
                  server_handlers handlers,
-                 server_limits limits)
-        : handlers(std::move(handlers)), limits(limits), io(io), acceptor(io),
+                 server_limits limits,
+                 server_accounting accounting)
+        : handlers(std::move(handlers)), limits(limits),
+          accounting(std::move(accounting)), io(io), acceptor(io),
           accept_timer(io)
     {
     }
@@ -85,6 +112,15 @@
             .map(
                 [this]
                 {
+                    if (this->accounting.budget != nullptr)
+                    {
+                        // Accepted connections inherit it.
+                        boost::system::error_code ignored;
+                        this->acceptor.set_option(
+                            boost::asio::socket_base::receive_buffer_size(
+                                receive_buffer_bytes),
+                            ignored);
+                    }
                     this->accept();
                 });
     }
@@ -116,6 +152,7 @@
 
     server_handlers handlers;
     server_limits limits;
+    const server_accounting accounting;
     std::set<session*> sessions;
     std::uint64_t next_exchange = 1;
     bool is_draining = false;
@@ -137,7 +174,7 @@
   public:
     session(tcp::socket socket, beast_server* owner)
         : socket(std::move(socket)), timer(this->socket.get_executor()),
-          owner(owner)
+          charge(owner->accounting.budget), owner(owner)
     {
         this->owner->sessions.insert(this);
     }
@@ -153,6 +190,19 @@
     session(const session&) = delete;
     session& operator=(const session&) = delete;
 
+    /// Charges the connection; false if it must be closed.
+    bool open()
+    {
+        return this->charge.open(
+            this->owner->accounting.is_protected,
+            this->held(),
+            [weak = this->weak_from_this()](client_closure need)
+            {
+                const auto self = weak.lock();
+                return self != nullptr && self->make_room(need);
+            });
+    }
+
     void start()
     {
         asio::disable_nagle(this->socket);
@@ -213,6 +263,7 @@
     void close()
     {
         this->current = state::closed;
+        this->charge.close();
         this->timer.cancel();
         asio::close_quietly(this->socket);
     }
@@ -235,10 +286,15 @@
             return;
         }
         this->current = state::idle;
-        this->parser.emplace();
-        this->parser->eager(true);
-        this->parser->body_limit(this->owner->limits.body_bytes);
-        this->parser->header_limit(this->owner->limits.header_bytes);
+        this->make_parser();
+        if (this->buffer.size() == 0 &&
+            this->buffer.capacity() > max_kept_buffer_bytes)
+        {
+            this->buffer.shrink_to_fit();
+        }
+        this->charge.set_phase(this->has_served ? client_phase::kept
+                                                : client_phase::unused);
+        this->charge.hold(this->held());
         this->expire_after(this->owner->limits.idle);
         if (this->buffer.size() > 0)
         {
@@ -250,6 +306,100 @@
         }
     }
 
+    void make_parser()
+    {
+        this->parser.emplace();
+        this->parser->eager(true);
+        this->parser->body_limit(this->owner->limits.body_bytes);
+        this->parser->header_limit(this->owner->limits.header_bytes);
+        const auto* limits = this->charge.limits();
+        if (limits != nullptr)
+        {
+            const auto fields =
+                limits->fields > 0
+                    ? limits->fields
+                    : this->owner->limits.header_bytes / min_field_bytes;
+            this->parser->limit_allocation(
+                [this](std::size_t total)
+                {
+                    return this->charge.try_hold(
+                        this->held() - this->parser->allocated() + total);
+                },
+                fields);
+        }
+    }
+
+    /// The memory of this connection and of its request or response.
+    [[nodiscard]] std::size_t held() const
+    {
+        auto bytes = sizeof(session) + this->buffer.capacity() +
+                     this->outgoing_head.capacity() +
+                     this->outgoing_body.capacity();
+        if (this->parser && this->current != state::writing)
+        {
+            bytes += this->parser->allocated();
+        }
+        if (this->current == state::handling)
+        {
+            bytes += handling_bytes;
+        }
+        // What the client sends now stays in the kernel.
+        const bool is_unread = !this->is_reading && this->buffer.size() > 0 &&
+                               (this->current == state::handling ||
+                                this->current == state::writing);
+        return is_unread ? bytes + receive_buffer_bytes : bytes;
+    }
+
+    /// Ends this connection or its request, so that others can be served.
+    bool make_room(client_closure need)
+    {
+        if (this->current == state::idle)
+        {
+            boost::system::error_code error;
+            if (this->socket.available(error) > 0 && !error)
+            {
+                return false;
+            }
+        }
+        else if (this->current == state::handling ||
+                 this->current == state::closed)
+        {
+            return false;
+        }
+        if (this->current == state::receiving)
+        {
+            const auto freed = this->held() - sizeof(session);
+            if (need == client_closure::memory && freed > min_freed_bytes)
+            {
+                this->refuse(result_code::overloaded,
+                             "no memory for this request");
+                return true;
+            }
+            this->send_refusal();
+        }
+        this->close();
+        return true;
+    }
+
+    /// Sends as much of a refusal as the socket accepts at once.
+    void send_refusal()
+    {
+        if (!this->owner->handlers.on_bad_input)
+        {
+            return;
+        }
+        auto reply = this->owner->handlers.on_bad_input(
+            result_code::overloaded, "no connection for this request");
+        const auto text =
+            write_response_head(
+                reply,
+                {.version = this->parser->version(), .keep_alive = false}) +
+            reply.body;
+        boost::system::error_code ignored;
+        this->socket.non_blocking(true, ignored);
+        this->socket.write_some(boost::asio::buffer(text), ignored);
+    }
+
     void expire_after(std::chrono::milliseconds time)
     {
         this->timer.expires_after(time);
@@ -268,11 +418,16 @@
     {
         if (this->current == state::receiving)
         {
+            this->charge.count(client_closure::stalled);
             this->refuse(result_code::request_timeout,
                          "the request was not received in time");
         }
         else if (this->current != state::handling)
         {
+            if (this->current == state::writing)
+            {
+                this->charge.count(client_closure::stalled);
+            }
             this->close();
         }
     }
@@ -309,11 +464,17 @@
             this->on_read_error(error);
             return;
         }
-        if (this->current == state::lingering)
+        if (this->current == state::lingering ||
+            (this->current == state::writing && !this->keep_alive))
         {
             this->read();
             return;
         }
+        this->charge.on_progress(count);
+        if (!this->reserve_buffer(count))
+        {
+            return;
+        }
         // Copied here, since the buffer may be consumed while a read is
         // pending.
         this->buffer.commit(boost::asio::buffer_copy(
@@ -322,12 +483,94 @@
         {
             this->parse();
         }
-        else if (this->buffer.size() < max_read_ahead_bytes)
+        else
+        {
+            this->read_ahead();
+        }
+    }
+
+    /// Charges the growth of the buffer before more bytes are added to it. If
+    /// that is not possible the request is refused or the connection closed.
+    bool reserve_buffer(std::size_t count)
+    {
+        const auto size = this->buffer.size() + count;
+        if (size <= this->buffer.capacity())
+        {
+            return true;
+        }
+        // The old buffer is in use until its bytes are copied.
+        const auto grown = std::max(size, 2 * this->buffer.size());
+        if (this->charge.try_hold(this->held() + grown))
+        {
+            this->buffer.reserve(grown);
+            this->charge.hold(this->held());
+            return this->current != state::closed;
+        }
+        if (this->current == state::idle || this->current == state::receiving)
+        {
+            this->refuse(result_code::overloaded, "no memory for this request");
+        }
+        else
+        {
+            const bool was_handling = this->current == state::handling;
+            this->close();
+            this->report_disconnect(was_handling);
+        }
+        return false;
+    }
+
+    /// Reads while a request waits for its response, so that a disconnect is
+    /// detected, unless too much has been received.
+    void read_ahead()
+    {
+        if (this->buffer.size() >= max_read_ahead_bytes)
+        {
+            this->charge.hold(this->held());
+        }
+        else if (this->has_too_many_pipelined())
+        {
+            if (!std::exchange(this->is_pipelining_counted, true))
+            {
+                this->charge.count(client_closure::pipelined);
+            }
+            this->charge.hold(this->held());
+        }
+        else
         {
             this->read();
         }
     }
 
+    [[nodiscard]] bool has_too_many_pipelined() const
+    {
+        const auto* limits = this->charge.limits();
+        if (limits == nullptr ||
+            this->buffer.size() < limits->pipelined * header_end.size())
+        {
+            return false;
+        }
+        const auto data = this->buffer.cdata();
+        const std::string_view text(static_cast<const char*>(data.data()),
+                                    data.size());
+        std::size_t count = 0;
+        for (auto at = text.find(header_end);
+             at != std::string_view::npos && count < limits->pipelined;
+             at = text.find(header_end, at + header_end.size()))
+        {
+            ++count;
+        }
+        return count >= limits->pipelined;
+    }
+
+    void report_disconnect(bool was_handling)
+    {
+        if (was_handling && this->owner != nullptr &&
+            this->owner->handlers.on_caller_disconnected)
+        {
+            this->owner->handlers.on_caller_disconnected(this->exchange);
+        }
+    }
+
     /// Calls a function; an exception closes this connection only.
     template <class Function>
     void guarded(Function&& function)
@@ -365,11 +608,7 @@
             return;
         }
         this->close();
-        if (is_waiting && this->owner != nullptr &&
-            this->owner->handlers.on_caller_disconnected)
-        {
-            this->owner->handlers.on_caller_disconnected(this->exchange);
-        }
+        this->report_disconnect(is_waiting);
     }
 
     void parse()
@@ -377,13 +616,18 @@
         if (this->current == state::idle)
         {
             this->current = state::receiving;
+            this->unproductive_bytes = 0;
+            this->is_body_timed = false;
+            this->charge.set_phase(client_phase::receiving);
             this->expire_after(this->owner->limits.header);
         }
         beast::error_code error;
+        std::size_t parsed = 0;
         while (!this->parser->is_done() && this->buffer.size() > 0)
         {
             const auto used = this->parser->put(this->buffer.data(), error);
             this->buffer.consume(used);
+            parsed += used;
             if (error || used == 0)
             {
                 break;
@@ -399,19 +643,43 @@
         }
         else if (this->parser->is_done())
         {
-            this->handle();
+            if (this->charge.try_hold(this->held() + handling_bytes))
+            {
+                this->handle();
+            }
+            else
+            {
+                this->refuse(result_code::overloaded,
+                             "no memory for this request");
+            }
         }
         else
         {
             if (this->parser->is_header_done())
             {
-                this->expire_after(this->owner->limits.idle);
+                this->time_body(parsed);
                 this->send_continue();
             }
             this->read();
         }
     }
 
+    /// Restarts the timeout of a body, for charged connections only when enough
+    /// bytes have arrived.
+    void time_body(std::size_t received)
+    {
+        const auto* limits = this->charge.limits();
+        this->unproductive_bytes += received;
+        if (limits != nullptr && this->is_body_timed &&
+            this->unproductive_bytes < limits->progress_bytes)
+        {
+            return;
+        }
+        this->is_body_timed = true;
+        this->unproductive_bytes = 0;
+        this->expire_after(this->owner->limits.idle);
+    }
+
     /// Answers `Expect: 100-continue`, once per request.
     void send_continue()
     {
@@ -447,7 +715,10 @@
         incoming.round_trip = kernel_round_trip(this->socket);
         incoming.caller = this->caller;
         this->has_sent_continue = false;
-        this->read();
+        this->has_served = true;
+        this->charge.set_phase(client_phase::handling);
+        this->read_ahead();
+        this->charge.hold(this->held());
         this->owner->handlers.on_request(
             std::move(incoming),
             [self = this->shared_from_this(),
@@ -463,11 +734,17 @@
 
     void on_parse_error(const beast::error_code& error)
     {
-        const auto code = error == bhttp::error::body_limit
-                              ? result_code::body_too_large
-                          : error == bhttp::error::header_limit
-                              ? result_code::header_too_large
-                              : result_code::malformed_request;
+        if (error == bhttp::error::header_limit &&
+            this->parser->has_too_many_fields())
+        {
+            this->charge.count(client_closure::fields);
+        }
+        const auto code =
+            this->parser->is_out_of_memory()    ? result_code::overloaded
+            : error == bhttp::error::body_limit ? result_code::body_too_large
+            : error == bhttp::error::header_limit
+                ? result_code::header_too_large
+                : result_code::malformed_request;
         this->refuse(code, error.message());
     }
 
@@ -481,6 +758,10 @@
             this->close();
             return;
         }
+        // Frees what was received of the request.
+        this->parser.reset();
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
         this->write(this->owner->handlers.on_bad_input(code, detail));
     }
 
@@ -492,6 +773,7 @@
             return;
         }
         this->current = state::writing;
+        this->charge.set_phase(client_phase::sending);
         if (this->owner == nullptr || this->owner->is_draining)
         {
             this->keep_alive = false;
@@ -501,6 +783,11 @@
         this->outgoing_body = this->is_head || !may_have_body(reply.status)
                                   ? std::string()
                                   : std::move(reply.body);
+        this->charge.hold(this->held());
+        if (this->current == state::closed)
+        {
+            return;
+        }
         if (this->owner != nullptr)
         {
             this->expire_after(this->owner->limits.idle);
@@ -511,6 +798,12 @@
         boost::asio::async_write(
             this->socket,
             parts,
+            [this, sent = std::size_t{0}](const beast::error_code& error,
+                                          std::size_t total) mutable
+            {
+                this->charge.on_progress(total - std::exchange(sent, total));
+                return error ? std::size_t{0} : max_write_bytes;
+            },
             [self = this->shared_from_this()](const beast::error_code& error,
                                               std::size_t)
             {
@@ -529,7 +822,7 @@
             return;
         }
         this->outgoing_head.clear();
-        this->outgoing_body.clear();
+        this->outgoing_body = std::string();
         if (error)
         {
             this->close();
@@ -546,7 +839,10 @@
         boost::system::error_code ignored;
         this->socket.shutdown(tcp::socket::shutdown_send, ignored);
         this->expire_after(linger_timeout);
-        this->buffer.consume(this->buffer.size());
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
+        this->charge.set_phase(client_phase::closing);
+        this->charge.hold(this->held());
         this->read();
     }
 
@@ -558,12 +854,17 @@
     std::optional<request_parser> parser;
     std::string outgoing_head;
     std::string outgoing_body;
+    client_charge charge;
     beast_server* owner;
     std::string caller; ///< IP address; empty if it is unavailable
     state current = state::idle;
     std::uint64_t exchange = 0;
     bool is_reading = false;
     bool has_sent_continue = false;
+    bool has_served = false;
+    bool is_body_timed = false; ///< the timeout of the body has started
+    bool is_pipelining_counted = false;
+    std::size_t unproductive_bytes = 0; ///< of the body, since its timeout
     bool is_head = false; ///< the method of the last request is HEAD
     bool keep_alive = true;
     unsigned version = 11;
@@ -609,6 +910,10 @@
         return;
     }
     const auto started = std::make_shared<session>(std::move(socket), this);
+    if (!started->open())
+    {
+        return;
+    }
     started->start();
     if (this->is_closing_idle)
     {
@@ -675,10 +980,11 @@
                const std::string& address,
                std::uint16_t port,
                server_handlers handlers,
-               server_limits limits)
+               server_limits limits,
+               server_accounting accounting)
 {
-    auto created =
-        std::make_unique<beast_server>(io, std::move(handlers), limits);
+    auto created = std::make_unique<beast_server>(
+        io, std::move(handlers), limits, std::move(accounting));
     const auto opened = created->open(address, port);
     if (!opened)
     {
--- a/src/adapters/http/server.hpp
+++ b/src/adapters/http/server.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <adapters/http/client_charge.hpp>
 #include <adapters/http/message.hpp>
 #include <core/base/result.hpp>
 
@@ -29,6 +30,15 @@
     std::chrono::milliseconds header{10'000};
 };
 
+/// @brief How a server charges its connections; by default not at all.
+struct server_accounting
+{
+    /// Shared by the servers of a process.
+    client_charge::budget_ptr budget;
+    /// The connections are charged, but never refused or closed for others.
+    bool is_protected = false;
+};
+
 /// @brief Sends the response to one request; called at most once. A status of
 ///        0 closes the connection without a response.
 using responder = std::function<void(response)>;
@@ -60,13 +70,15 @@
     /// @param port the port, 0 for any free one
     /// @param handlers the callbacks
     /// @param limits the limits
+    /// @param accounting the account that connections are charged to
     /// @return the server, or connect_failed when the address cannot be used
     static core::base::result<std::unique_ptr<server>>
     listen(boost::asio::io_context& io,
            const std::string& address,
            std::uint16_t port,
            server_handlers handlers,
-           server_limits limits);
+           server_limits limits,
+           server_accounting accounting = {});
 
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -8,6 +8,7 @@
 #include <adapters/asio/asio_runtime.hpp>
 #include <adapters/http/server.hpp>
 #include <adapters/log/stdout_log.hpp>
+#include <adapters/relay/client_report.hpp>
 #include <adapters/relay/membership.hpp>
 #include <adapters/relay/metrics_page.hpp>
 #include <adapters/relay/peer_feed.hpp>
@@ -68,12 +69,37 @@
     return result;
 }
 
+http::server_limits to_server_limits(const core::relay::caller_limits& limits)
+{
+    http::server_limits result;
+    result.body_bytes = limits.body_bytes;
+    result.header_bytes = static_cast<std::uint32_t>(limits.header_bytes);
+    result.idle = limits.idle_timeout;
+    result.header = limits.header_timeout;
+    return result;
+}
+
+core::relay::client_limits to_client_limits(const relay_settings& settings)
+{
+    return core::relay::limits_of(
+        settings.clients, settings.memory_limit, settings.descriptor_limit);
+}
+
+/// Who connects to a listener.
+enum class listener_kind
+{
+    untrusted,
+    internal
+};
+
 class node final : public relay_node
 {
   public:
     node(boost::asio::io_context& io, relay_settings initial)
         : settings(std::move(initial)), io(io), runtime(io),
           log(this->settings.node_name, core::base::log_level::info, 1),
+          clients(std::make_shared<core::relay::client_budget>(
+              to_client_limits(this->settings))),
           pool(io,
                this->pool_counters,
                std::make_shared<core::relay::answer_memory>(
@@ -200,7 +226,8 @@
     result<void> open_listeners();
     result<std::unique_ptr<http::server>>
     open(const core::relay::socket_address& address,
-         http::server_handlers handlers);
+         http::server_handlers handlers,
+         listener_kind kind);
     void on_source_status(bool is_reachable, const std::string& reason);
     void on_item(const ports::store_item& item);
     void on_limits(const core::relay::caller_limits& changed);
@@ -225,6 +252,8 @@
     boost::asio::io_context& io;
     asio::asio_runtime runtime;
     log::stdout_log log;
+    std::shared_ptr<core::relay::client_budget> clients;
+    client_report clients_reported;
     core::relay::relay_counters pool_counters;
     replica_pool pool;
     core::relay::request_engine engine;
@@ -253,13 +282,18 @@
 
 result<std::unique_ptr<http::server>>
 node::open(const core::relay::socket_address& address,
-           http::server_handlers handlers)
+           http::server_handlers handlers,
+           listener_kind kind)
 {
     handlers.on_bad_input = [this](result_code code, const std::string& detail)
     {
-        this->log.write(log_event::bad_input,
-                        {{"code", std::string(core::base::name_of(code))},
-                         {"error", detail}});
+        // Refusals for limits are logged together by client_report.
+        if (code != result_code::overloaded)
+        {
+            this->log.write(log_event::bad_input,
+                            {{"code", std::string(core::base::name_of(code))},
+                             {"error", detail}});
+        }
         return platform::write_bad_input(code, detail);
     };
     handlers.on_exception = [this](const std::string& what)
@@ -267,8 +301,15 @@
         this->engine.counters.add(relay_counter::handler_failures);
         this->log.write(log_event::handler_failed, {{"error", what}});
     };
+    const bool is_internal = kind == listener_kind::internal;
     return http::server::listen(
-        this->io, address.ip, address.port, std::move(handlers), {});
+        this->io,
+        address.ip,
+        address.port,
+        std::move(handlers),
+        is_internal ? http::server_limits{}
+                    : to_server_limits(core::relay::caller_limits{}),
+        {.budget = this->clients, .is_protected = is_internal});
 }
 
 result<void> node::open_listeners()
@@ -310,7 +351,8 @@
         reply.body = write_metrics(this->engine.counters,
                                    this->pool_counters,
                                    this->engine.active(),
-                                   this->log.dropped());
+                                   this->log.dropped()) +
+                     write_client_metrics(*this->clients);
         respond(std::move(reply));
     };
     http::server_handlers feed_handlers;
@@ -331,13 +373,18 @@
             member = std::move(opened);
         };
     };
-    return this->open(this->settings.metrics, std::move(metrics_handlers))
+    return this
+        ->open(this->settings.metrics,
+               std::move(metrics_handlers),
+               listener_kind::untrusted)
         .map(store_in(this->metrics))
         .and_then(
             [&]
             {
                 return this
-                    ->open(this->settings.peers, std::move(feed_handlers))
+                    ->open(this->settings.peers,
+                           std::move(feed_handlers),
+                           listener_kind::internal)
                     .map(store_in(this->feed_server));
             })
         .and_then(
@@ -345,7 +392,8 @@
             {
                 return this
                     ->open(this->settings.readiness,
-                           std::move(readiness_handlers))
+                           std::move(readiness_handlers),
+                           listener_kind::untrusted)
                     .map(store_in(this->readiness));
             })
         .and_then(
@@ -353,7 +401,8 @@
             {
                 return this
                     ->open(this->settings.directory,
-                           std::move(directory_handlers))
+                           std::move(directory_handlers),
+                           listener_kind::untrusted)
                     .map(store_in(this->directory));
             })
         .and_then(
@@ -361,7 +410,8 @@
             {
                 return this
                     ->open(this->settings.caller_address,
-                           std::move(caller_handlers))
+                           std::move(caller_handlers),
+                           listener_kind::untrusted)
                     .map(store_in(this->callers));
             });
 }
@@ -395,12 +445,10 @@
 
 void node::on_limits(const core::relay::caller_limits& changed)
 {
-    http::server_limits limits;
-    limits.body_bytes = changed.body_bytes;
-    limits.header_bytes = static_cast<std::uint32_t>(changed.header_bytes);
-    limits.idle = changed.idle_timeout;
-    limits.header = changed.header_timeout;
+    const auto limits = to_server_limits(changed);
     this->callers->set_limits(limits);
+    this->readiness->set_limits(limits);
+    this->directory->set_limits(limits);
 }
 
 void node::update_bounds()
@@ -431,6 +479,8 @@
         this->maintain_connections();
         this->engine.refresh_limits();
     }
+    this->clients_reported.write(
+        *this->clients, this->log, this->runtime.now());
     this->log.flush();
     if (!this->is_maintenance_pending)
     {
@@ -607,6 +657,7 @@
 {
     this->settings.stop_grace = changed.stop_grace;
     this->settings.max_address_ttl = changed.max_address_ttl;
+    this->clients->set_limits(to_client_limits(changed));
     this->engine.set_bounds(to_engine_settings(changed));
     this->members.set_seeds(changed.seeds);
     this->log.write(log_event::settings_reloaded,
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -128,6 +128,19 @@
     event_row{
         log_event::quarantine_ignored, "quarantine_ignored", log_level::info},
     event_row{log_event::handler_failed, "handler_failed", log_level::error},
+    event_row{log_event::client_memory_limited,
+              "client_memory_limited",
+              log_level::warning},
+    event_row{log_event::client_descriptors_limited,
+              "client_descriptors_limited",
+              log_level::warning},
+    event_row{log_event::client_stalled, "client_stalled", log_level::warning},
+    event_row{log_event::client_fields_limited,
+              "client_fields_limited",
+              log_level::warning},
+    event_row{log_event::client_pipelining_limited,
+              "client_pipelining_limited",
+              log_level::warning},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -110,6 +110,12 @@
     send_unanswered = 1063,
     quarantine_ignored = 1064,
     handler_failed = 1065,
+
+    client_memory_limited = 1093,
+    client_descriptors_limited = 1094,
+    client_stalled = 1095,
+    client_fields_limited = 1096,
+    client_pipelining_limited = 1097,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <core/relay/client_budget.hpp>
+
 namespace hawthornrelay::core::relay
 {
 
@@ -33,6 +35,8 @@
     unsigned millicores = 1000; ///< processor capacity of the VM
     /// Memory limit of this process in bytes.
     std::size_t memory_limit = std::size_t{256} << 20U;
+    std::size_t descriptor_limit = 0; ///< of this process; 0 if not limited
+    client_settings clients;
     socket_address caller_address; ///< listens for callers' requests
     socket_address readiness; ///< listens for the platform's readiness probes
     socket_address directory; ///< listens for callers' address lookups
