--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -125,6 +125,12 @@
     slow_start_begun = 1080,
     slow_start_reduced = 1081,
     slow_start_ended = 1082,
+
+    client_memory_limited = 1093,
+    client_descriptors_limited = 1094,
+    client_stalled = 1095,
+    client_fields_limited = 1096,
+    client_pipelining_limited = 1097,
 };
 
 /// @brief Severity of a log line.
