Admission test: callers that retry at once gain nothing

Cause: callers that repeat refused requests immediately had no case.

Change: a case with two organisations of equal demand, one of which repeats each refused request up to 20 times, 5 ms after each refusal.

--- a/tests/relay/test_admission.cpp
+++ b/tests/relay/test_admission.cpp
@@ -24,6 +24,7 @@
         std::string organisation;
         unsigned priority = 0;
         double per_second = 0;
+        int retries = 0; ///< of a refused request, 5 ms after each refusal
         std::size_t sent = 0;
         std::size_t served = 0;
 
@@ -78,7 +79,9 @@
                 for (due[i] += this->sources[i].per_second / 1000; due[i] >= 1;
                      due[i] -= 1)
                 {
-                    this->send(this->sources[i], is_counted);
+                    this->sources[i].sent += is_counted ? 1 : 0;
+                    this->send(
+                        this->sources[i], is_counted, this->sources[i].retries);
                 }
             }
             this->site.loop.run_for(1ms);
@@ -104,7 +107,7 @@
     relay_simulation site;
 
   private:
-    void send(source& from, bool is_counted)
+    void send(source& from, bool is_counted, int retries_left)
     {
         auto message = std::make_shared<ports::forwarded_request>();
         message->id = "q" + std::to_string(++this->last_id);
@@ -116,13 +119,22 @@
         request.credentials = "Bearer " + from.organisation;
         request.time_left = 400ms;
         request.round_trip = 2ms;
-        from.sent += is_counted ? 1 : 0;
         this->site.engine.start(
             std::move(request),
-            [&from, is_counted](const core::relay::caller_answer& answer)
+            [this, &from, is_counted, retries_left](
+                const core::relay::caller_answer& answer)
             {
                 const bool is_ok = answer.code == core::base::result_code::ok;
                 from.served += is_counted && is_ok ? 1 : 0;
+                if (!is_ok && retries_left > 0)
+                {
+                    this->site.loop.after(
+                        5ms,
+                        [this, &from, is_counted, retries_left]
+                        {
+                            this->send(from, is_counted, retries_left - 1);
+                        });
+                }
             });
     }
 
@@ -199,4 +211,20 @@
     }
 }
 
+// Guards against: callers that retry at once get the room of those that wait.
+BOOST_AUTO_TEST_CASE(immediate_retries_gain_nothing)
+{
+    overload_simulation overload(
+        100,
+        {{.organisation = "patient", .priority = 1, .per_second = 100},
+         {.organisation = "hasty",
+          .priority = 1,
+          .per_second = 100,
+          .retries = 20}});
+    overload.run(12s);
+    const auto& sources = overload.sources;
+    BOOST_TEST_MESSAGE(sources[0].ratio() << " " << sources[1].ratio());
+    BOOST_TEST(sources[0].ratio() >= sources[1].ratio() - 0.05);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
