Untrusted clients: close after too many pipelined requests, free bodies early

Cause: 40 clients with pipelined requests kept a node at about 30,000 refusals a second ("no connection available"), and each finished request stayed in memory until its deadline: 153,084 KiB, no ordinary answer. Bodies came within 1.4 MiB of the bound.

Change: at clientMaxPipelined (now 64) the response in progress is the last one of the connection. A finished request without a pending attempt is freed at once. clientMemoryShare is 0.3.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -529,7 +529,9 @@
         }
         else if (this->has_too_many_pipelined())
         {
-            if (!std::exchange(this->is_pipelining_counted, true))
+            // The response in progress is the last one. What follows has not
+            // run and is discarded.
+            if (!std::exchange(this->is_over_pipelined, true))
             {
                 this->charge.count(client_closure::pipelined);
             }
@@ -774,7 +776,8 @@
         }
         this->current = state::writing;
         this->charge.set_phase(client_phase::sending);
-        if (this->owner == nullptr || this->owner->is_draining)
+        if (this->owner == nullptr || this->owner->is_draining ||
+            this->is_over_pipelined)
         {
             this->keep_alive = false;
         }
@@ -828,7 +831,8 @@
             this->close();
             return;
         }
-        if (this->keep_alive && this->owner != nullptr)
+        if (this->keep_alive && this->owner != nullptr &&
+            !this->is_over_pipelined)
         {
             this->begin_request();
             return;
@@ -862,8 +866,8 @@
     bool is_reading = false;
     bool has_sent_continue = false;
     bool has_served = false;
-    bool is_body_timed = false; ///< the timeout of the body has started
-    bool is_pipelining_counted = false;
+    bool is_body_timed = false;         ///< the timeout of the body has started
+    bool is_over_pipelined = false;     ///< must close after its response
     std::size_t unproductive_bytes = 0; ///< of the body, since its timeout
     bool is_head = false; ///< the method of the last request is HEAD
     bool keep_alive = true;
--- a/src/core/relay/client_budget.hpp
+++ b/src/core/relay/client_budget.hpp
@@ -28,20 +28,20 @@
     std::size_t progress_bytes = 1024;
     /// Fields of one request; 0 for as many as its header may have.
     std::size_t fields = 0;
-    /// Requests that are read ahead on one connection.
-    std::size_t pipelined = 16;
+    /// Requests that are read ahead on one connection; it is closed at more.
+    std::size_t pipelined = 64;
 };
 
 /// @brief The part of a process's limits that clients may use, and the limits
 ///        of each client.
 struct client_settings
 {
-    double memory_share = 0.4;     ///< of the memory limit
+    double memory_share = 0.3;     ///< of the memory limit
     double descriptor_share = 0.6; ///< of the descriptors without reserved ones
     std::chrono::milliseconds grace{1000};
     std::size_t progress_bytes = 1024;
     std::size_t fields = 0;
-    std::size_t pipelined = 16;
+    std::size_t pipelined = 64;
 };
 
 /// @brief Computes the limits of a process.
@@ -72,7 +72,7 @@
     refused,     ///< nothing could be freed for this client
     stalled,     ///< no progress within the timeout
     fields,      ///< more fields than allowed
-    pipelined,   ///< read no further for now: too many pipelined requests
+    pipelined,   ///< too many pipelined requests; closed after a response
     end
 };
 
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -150,6 +150,7 @@
     [[nodiscard]] double extra_fraction(attempt_reason why) const;
     void check_progress();
     void on_timer();
+    [[nodiscard]] bool has_pending_attempts() const;
     void arm_timer();
     void answer_search();
     void answer_single(ports::replica_answer answer);
--- a/src/core/relay/request_execution_finish.cpp
+++ b/src/core/relay/request_execution_finish.cpp
@@ -109,6 +109,21 @@
     this->on_unanswered(part, attempt, true);
 }
 
+bool request_execution::has_pending_attempts() const
+{
+    return std::any_of(this->parts.begin(),
+                       this->parts.end(),
+                       [](const part_state& part)
+                       {
+                           return std::any_of(part.attempts.begin(),
+                                              part.attempts.end(),
+                                              [](const attempt_state& attempt)
+                                              {
+                                                  return attempt.is_pending;
+                                              });
+                       });
+}
+
 void request_execution::on_caller_disconnected()
 {
     if (this->is_finished)
@@ -200,8 +215,14 @@
     this->engine.remove_request(this->number);
     if (!this->parts.empty())
     {
-        const auto linger = std::max(duration(disconnect_grace),
-                                     this->deadline - now + disconnect_grace);
+        // Without a pending attempt nothing is left to cancel, and the
+        // request's body must not stay in memory until the deadline. The object
+        // is in use until the current call has returned.
+        const auto linger =
+            this->has_pending_attempts()
+                ? std::max(duration(disconnect_grace),
+                           this->deadline - now + disconnect_grace)
+                : duration::zero();
         this->engine.runtime.call_after(linger,
                                         [self = this->shared_from_this()]
                                         {
