Quotas: datagrams between nodes, the call in request_execution, 429

Cause: quota_ledger was not connected to the relay.

A request that no replica got returns its credit. Log events 1075 to 1078; metrics quota_refusals, quota_asks, quota_messages.

--- a/src/adapters/relay/beacon_socket.cpp
+++ b/src/adapters/relay/beacon_socket.cpp
@@ -8,6 +8,7 @@
 #include <schemas/generated/relay_generated.h>
 
 #include <adapters/asio/socket.hpp>
+#include <adapters/relay/quota_wire.hpp>
 
 namespace hawthornrelay::adapters::relay
 {
@@ -43,8 +44,10 @@
 
 } // namespace
 
-beacon_socket::beacon_socket(boost::asio::io_context& io, handler on_record)
-    : socket(io), on_record(std::move(on_record))
+beacon_socket::beacon_socket(boost::asio::io_context& io,
+                             handler on_record,
+                             quota_handler on_quota)
+    : socket(io), on_record(std::move(on_record)), on_quota(std::move(on_quota))
 {
 }
 
@@ -118,6 +121,19 @@
         ignored);
 }
 
+void beacon_socket::send(const std::string& to,
+                         const core::relay::quota_message& message)
+{
+    const auto endpoint = parse_udp_endpoint(to);
+    const auto bytes = write_quota_datagram(message);
+    if (!endpoint || bytes.size() > max_datagram)
+    {
+        return;
+    }
+    boost::system::error_code ignored;
+    this->socket.send_to(boost::asio::buffer(bytes), *endpoint, 0, ignored);
+}
+
 void beacon_socket::receive()
 {
     this->socket.async_receive_from(
@@ -139,6 +155,15 @@
 
 void beacon_socket::on_datagram(std::size_t size)
 {
+    if (is_quota_datagram(this->datagram.data(), size))
+    {
+        const auto message = read_quota_datagram(this->datagram.data(), size);
+        if (message && this->on_quota)
+        {
+            this->on_quota(*message);
+        }
+        return;
+    }
     flatbuffers::Verifier verifier(this->datagram.data(), size);
     if (!schemas::VerifyBeaconBuffer(verifier))
     {
--- a/src/adapters/relay/beacon_socket.hpp
+++ b/src/adapters/relay/beacon_socket.hpp
@@ -12,6 +12,7 @@
 
 #include <core/base/result.hpp>
 #include <core/relay/node_directory.hpp>
+#include <core/relay/quota_message.hpp>
 
 namespace hawthornrelay::adapters::relay
 {
@@ -22,10 +23,16 @@
   public:
     using handler = std::function<void(const core::relay::node_record&)>;
 
+    using quota_handler =
+        std::function<void(const core::relay::quota_message&)>;
+
     /// @brief Creates a closed socket.
     /// @param io the context to run on; it must outlive this object
     /// @param on_record called with each valid record received
-    beacon_socket(boost::asio::io_context& io, handler on_record);
+    /// @param on_quota called with each valid message about quotas
+    beacon_socket(boost::asio::io_context& io,
+                  handler on_record,
+                  quota_handler on_quota = {});
 
     /// @brief Binds the socket and starts receiving.
     /// @param address `ip:port` to bind to
@@ -38,6 +45,15 @@
     /// @param self the record of this node
     void send(const std::string& to, const core::relay::node_record& self);
 
+    /// @brief Sends a message about quotas; failures are ignored.
+    /// @param to `ip:port` of the other node
+    /// @param message at most max_datagram bytes when encoded; a longer one is
+    ///        not sent
+    void send(const std::string& to, const core::relay::quota_message& message);
+
+    /// Size of a datagram that is not fragmented.
+    static constexpr std::size_t max_datagram = 1500;
+
     /// @brief Stops receiving.
     void close();
 
@@ -48,7 +64,8 @@
     boost::asio::ip::udp::socket socket;
     boost::asio::ip::udp::endpoint sender;
     handler on_record;
-    std::array<std::uint8_t, 1500> datagram{};
+    quota_handler on_quota;
+    std::array<std::uint8_t, max_datagram> datagram{};
 };
 
 } // namespace hawthornrelay::adapters::relay
--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -63,11 +63,19 @@
     : nodes(make_self(settings)), deps(std::move(deps)), seeds(settings.seeds),
       is_seed(settings.is_seed), is_first_start(settings.is_first_start),
       role(this->nodes.self(), settings.zone_count),
-      beacons(this->deps.io,
-              [this](const node_record& record)
+      beacons(
+          this->deps.io,
+          [this](const node_record& record)
+          {
+              this->on_record(record);
+          },
+          [this](const core::relay::quota_message& message)
+          {
+              if (this->deps.on_quota)
               {
-                  this->on_record(record);
-              }),
+                  this->deps.on_quota(message);
+              }
+          }),
       lease(this->deps.runtime,
             this->deps.store,
             std::string(platform::names::node_prefix) + settings.node_name,
@@ -201,6 +209,16 @@
     this->seeds = std::move(addresses);
 }
 
+void membership::send_quota(const std::string& node,
+                            const core::relay::quota_message& message)
+{
+    const auto address = this->nodes.peers_address(node);
+    if (!address.empty())
+    {
+        this->beacons.send(address, message);
+    }
+}
+
 void membership::log_silent_nodes()
 {
     for (const auto& name :
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -47,6 +47,8 @@
             crashes_to_report;
         std::function<void(const std::vector<core::relay::crash_report>&)>
             on_crashes;
+        /// Called with each message about quotas; may be empty.
+        std::function<void(const core::relay::quota_message&)> on_quota;
         /// Called when calls of the store begin to fail.
         std::function<void()> on_store_lost;
     };
@@ -71,6 +73,10 @@
     ///        node is known or the mirror is incomplete.
     void set_seeds(std::vector<std::string> addresses);
 
+    /// @brief Sends a message about quotas to a known node.
+    void send_quota(const std::string& node,
+                    const core::relay::quota_message& message);
+
     /// @brief Logs the entries that have become silent since the last call.
     void log_silent_nodes();
 
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -11,6 +11,7 @@
 #include <adapters/relay/membership.hpp>
 #include <adapters/relay/metrics_page.hpp>
 #include <adapters/relay/peer_feed.hpp>
+#include <adapters/relay/quota_exchange.hpp>
 #include <adapters/relay/replica_pool.hpp>
 #include <adapters/relay/store_change_handler.hpp>
 #include <core/relay/entry_choice.hpp>
@@ -68,6 +69,17 @@
     return result;
 }
 
+core::relay::quota_settings
+to_quota_settings(const relay_settings& settings,
+                  const core::relay::node_record& self)
+{
+    core::relay::quota_settings result;
+    result.node = self.name;
+    result.incarnation = self.incarnation;
+    result.is_first_start = settings.is_first_start;
+    return result;
+}
+
 class node final : public relay_node
 {
   public:
@@ -132,6 +144,11 @@
                {
                    this->engine.merge_crashes(reports);
                },
+               .on_quota =
+                   [this](const core::relay::quota_message& message)
+               {
+                   this->quotas.on_message(message);
+               },
                .on_store_lost =
                    [this]
                {
@@ -139,6 +156,11 @@
                    this->engine.counters.add(relay_counter::store_failures);
                }},
               this->settings),
+          quotas(to_quota_settings(this->settings, this->members.nodes.self()),
+                 this->runtime,
+                 this->log,
+                 this->members,
+                 this->engine.counters),
           change_handler(this->runtime,
                          this->engine,
                          this->members.nodes,
@@ -189,6 +211,8 @@
              {"millicores", std::to_string(this->settings.millicores)},
              {"first_start", this->settings.is_first_start ? "1" : "0"}});
         this->members.start();
+        this->engine.quotas = &this->quotas.ledger;
+        this->quotas.start();
         this->maintain();
         return {};
     }
@@ -234,6 +258,7 @@
     peer_feed feed;
     core::relay::store_follower follower;
     membership members;
+    quota_exchange quotas;
     store_change_handler change_handler;
     bool is_change_pending = false;
     bool is_cut_off = false;
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -128,6 +128,11 @@
     event_row{
         log_event::quarantine_ignored, "quarantine_ignored", log_level::info},
     event_row{log_event::handler_failed, "handler_failed", log_level::error},
+    event_row{log_event::quota_share_held, "quota_share_held", log_level::info},
+    event_row{
+        log_event::quota_share_lost, "quota_share_lost", log_level::warning},
+    event_row{log_event::quota_exceeded, "quota_exceeded", log_level::info},
+    event_row{log_event::quota_kept, "quota_kept", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -110,6 +110,10 @@
     send_unanswered = 1063,
     quarantine_ignored = 1064,
     handler_failed = 1065,
+    quota_share_held = 1075,
+    quota_share_lost = 1076,
+    quota_exceeded = 1077,
+    quota_kept = 1078,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -351,6 +351,13 @@
     return result;
 }
 
+std::string node_directory::peers_address(const std::string& name) const
+{
+    const auto found = this->nodes.find(name);
+    return found == this->nodes.end() ? std::string()
+                                      : found->second.record.peers;
+}
+
 bool node_directory::is_counted(const node_state& item, time_point now)
 {
     return item.is_listed || now - item.last_entry_at <= shared_bound_retention;
--- a/src/core/relay/node_directory.hpp
+++ b/src/core/relay/node_directory.hpp
@@ -98,6 +98,9 @@
     ///        entries, for a standby the entries of its own zone.
     [[nodiscard]] std::vector<node_record> beacon_recipients() const;
 
+    /// @brief A node's `ip:port` for other nodes; empty if it is unknown.
+    [[nodiscard]] std::string peers_address(const std::string& name) const;
+
     /// @brief Number of current and recently ended entries, by which the bounds
     ///        shared by all nodes are divided.
     /// @return at least 1
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -37,6 +37,9 @@
     store_failures,
     directory_answers,
     handler_failures,
+    quota_refusals,
+    quota_asks,
+    quota_messages,
     end
 };
 
@@ -64,7 +67,10 @@
                         "store_calls",
                         "store_failures",
                         "directory_answers",
-                        "handler_failures"};
+                        "handler_failures",
+                        "quota_refusals",
+                        "quota_asks",
+                        "quota_messages"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -16,6 +16,7 @@
 #include <core/relay/configuration.hpp>
 #include <core/relay/crash_tracker.hpp>
 #include <core/relay/extra_budget.hpp>
+#include <core/relay/quota_ledger.hpp>
 #include <core/relay/relay_counters.hpp>
 #include <core/relay/replica_registry.hpp>
 #include <ports/event_log.hpp>
@@ -61,6 +62,13 @@
     base::duration retry_after{}; ///< Retry-After of a refusal
 };
 
+/// @brief An organisation and its limit over all nodes.
+struct organisation_quota
+{
+    std::string organisation;
+    quota_limit limit;
+};
+
 /// @brief Executes requests: chooses replicas, hedges and retries within the
 ///        shared bounds, ends searches at their latency objective and merges
 ///        their results.
@@ -133,6 +141,16 @@
     ///        same at all nodes; 0 for the first.
     std::function<std::size_t(const std::string& replica)> rank_among_entries;
 
+    /// @brief Limits the requests of organisations; nullptr for no limits. It
+    ///        must outlive this object.
+    quota_ledger* quotas = nullptr;
+
+    /// @brief Looks up the organisation that a request counts for.
+    /// @return nullopt if it has no limit
+    std::function<std::optional<organisation_quota>(const caller_request&,
+                                                    const route&)>
+        quota_of;
+
     /// @brief Starts a health check of a replica unless one is in progress.
     void check(const replica_ptr& target);
 
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -101,6 +101,21 @@
     {
         return;
     }
+    if (this->engine.quotas != nullptr && this->engine.quota_of)
+    {
+        this->quota =
+            this->engine.quota_of(this->request, *this->matched_route);
+    }
+    if (this->quota)
+    {
+        this->take_quota();
+        return;
+    }
+    this->dispatch();
+}
+
+void request_execution::dispatch()
+{
     this->compute_deadlines();
     this->silence_check_at = this->started + silence_check_delay;
     this->is_dispatching = true;
@@ -138,6 +153,11 @@
 
 void request_execution::limit_deadline(time_point latest)
 {
+    if (this->is_waiting_for_quota)
+    {
+        // Applied in compute_deadlines().
+        return;
+    }
     this->deadline = std::min(this->deadline, latest);
     this->arm_timer();
 }
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -93,6 +93,15 @@
     /// Withholds the parts whose replicas crashed in the caller's earlier
     /// attempts. Fails the request and returns true if too few remain.
     bool refuse_if_crashing();
+    /// Takes the credit for the request, or waits for it. Fails the request if
+    /// its organisation's quota is used up.
+    void take_quota();
+    /// Tries again after a wait for credit.
+    void retry_quota(base::duration delay);
+    /// Returns the credit of a request that has reached no replica.
+    void return_quota();
+    /// Sends the first attempts once the request is admitted.
+    void dispatch();
     base::fingerprint fingerprint();
     crash_subject subject_of(const part_state& part);
     /// Records that the request was answered, so its crashes had other causes.
@@ -172,6 +181,9 @@
     base::time_point deadline{};
     base::time_point silence_check_at{};
     bool is_silence_checked = false;
+    std::optional<organisation_quota> quota; ///< set if it has a limit
+    bool is_quota_taken = false;
+    bool is_waiting_for_quota = false;
     ports::timer_id timer = ports::no_timer;
     bool is_finished = false;
     std::optional<base::fingerprint> known_fingerprint;
--- a/src/core/relay/request_execution_finish.cpp
+++ b/src/core/relay/request_execution_finish.cpp
@@ -154,6 +154,7 @@
 {
     this->is_finished = true;
     this->engine.runtime.cancel(this->timer);
+    this->return_quota();
     const auto now = this->engine.runtime.now();
     const auto elapsed = now - this->started;
     auto& counters = this->engine.counters;
