--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -51,6 +51,8 @@
         /// Roll-outs in progress, to send to other nodes, and those received.
         std::function<core::relay::rollout_message()> rollouts_to_report;
         std::function<void(const core::relay::node_record&)> on_rollouts;
+        /// Called with each message about quotas; may be empty.
+        std::function<void(const core::relay::quota_message&)> on_quota;
         /// Called when calls of the store begin to fail.
         std::function<void()> on_store_lost;
     };
@@ -75,6 +77,10 @@
     ///        node is known or the mirror is incomplete.
     void set_seeds(std::vector<std::string> addresses);
 
+    /// @brief Sends a message about quotas to a known node.
+    void send_quota(const std::string& node,
+                    const core::relay::quota_message& message);
+
     /// @brief Logs the entries that have become silent since the last call.
     void log_silent_nodes();
 
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -12,6 +12,7 @@
 #include <adapters/relay/membership.hpp>
 #include <adapters/relay/metrics_page.hpp>
 #include <adapters/relay/peer_feed.hpp>
+#include <adapters/relay/quota_exchange.hpp>
 #include <adapters/relay/replica_pool.hpp>
 #include <adapters/relay/store_change_handler.hpp>
 #include <core/base/hash.hpp>
@@ -99,6 +100,20 @@
     internal
 };
 
+core::relay::quota_settings
+to_quota_settings(const relay_settings& settings,
+                  const core::relay::node_record& self)
+{
+    core::relay::quota_settings result;
+    result.node = self.name;
+    result.incarnation = self.incarnation;
+    result.is_first_start = settings.is_first_start;
+    result.window = settings.quota_window;
+    result.overshoot = settings.quota_overshoot;
+    result.slack = settings.quota_slack;
+    return result;
+}
+
 class node final : public relay_node
 {
   public:
@@ -185,6 +200,11 @@
                    this->rollouts.on_message(
                        record.name, record.incarnation, record.rollouts);
                },
+               .on_quota =
+                   [this](const core::relay::quota_message& message)
+               {
+                   this->quotas.on_message(message);
+               },
                .on_store_lost =
                    [this]
                {
@@ -192,6 +212,11 @@
                    this->engine.counters.add(relay_counter::store_failures);
                }},
               this->settings),
+          quotas(to_quota_settings(this->settings, this->members.nodes.self()),
+                 this->runtime,
+                 this->log,
+                 this->members,
+                 this->engine.counters),
           change_handler(this->runtime,
                          this->engine,
                          this->members.nodes,
@@ -246,6 +271,8 @@
              {"millicores", std::to_string(this->settings.millicores)},
              {"first_start", this->settings.is_first_start ? "1" : "0"}});
         this->members.start();
+        this->engine.quotas = &this->quotas.ledger;
+        this->quotas.start();
         this->maintain();
         return {};
     }
@@ -297,6 +324,7 @@
     peer_feed feed;
     core::relay::store_follower follower;
     membership members;
+    quota_exchange quotas;
     store_change_handler change_handler;
     bool is_change_pending = false;
     bool is_cut_off = false;
@@ -715,6 +743,9 @@
     this->settings.max_address_ttl = changed.max_address_ttl;
     this->clients->set_limits(to_client_limits(changed));
     this->engine.set_bounds(to_engine_settings(changed));
+    this->quotas.ledger.set_bounds(changed.quota_window,
+                                   changed.quota_overshoot,
+                                   changed.quota_slack);
     this->rollouts.set_bounds(changed.rollouts, changed.min_lease);
     this->members.set_seeds(changed.seeds);
     this->log.write(log_event::settings_reloaded,
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -168,6 +168,11 @@
     event_row{log_event::client_pipelining_limited,
               "client_pipelining_limited",
               log_level::warning},
+    event_row{log_event::quota_share_held, "quota_share_held", log_level::info},
+    event_row{
+        log_event::quota_share_lost, "quota_share_lost", log_level::warning},
+    event_row{log_event::quota_exceeded, "quota_exceeded", log_level::info},
+    event_row{log_event::quota_kept, "quota_kept", log_level::info},
 };
 
 const event_row* find_row(log_event event)
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -131,6 +131,10 @@
     client_stalled = 1095,
     client_fields_limited = 1096,
     client_pipelining_limited = 1097,
+    quota_share_held = 1075,
+    quota_share_lost = 1076,
+    quota_exceeded = 1077,
+    quota_kept = 1078,
 };
 
 /// @brief Severity of a log line.
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -43,6 +43,9 @@
     rollouts_rolled_back,
     overload_refusals,
     slow_start_deferrals,
+    quota_refusals,
+    quota_asks,
+    quota_messages,
     end
 };
 
@@ -76,7 +79,10 @@
                         "rollouts_completed",
                         "rollouts_rolled_back",
                         "overload_refusals",
-                        "slow_start_deferrals"};
+                        "slow_start_deferrals",
+                        "quota_refusals",
+                        "quota_asks",
+                        "quota_messages"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -110,8 +110,17 @@
     {
         return;
     }
-    // The caller's organisation is known and nothing has been sent: its quota
-    // is applied here.
+    this->quota = this->find_quota();
+    if (this->quota)
+    {
+        this->take_quota();
+        return;
+    }
+    this->dispatch();
+}
+
+void request_execution::dispatch()
+{
     if (this->refuse_if_overloaded())
     {
         return;
@@ -153,6 +162,11 @@
 
 void request_execution::limit_deadline(time_point latest)
 {
+    if (this->is_waiting_for_quota)
+    {
+        // Applied in compute_deadlines().
+        return;
+    }
     this->deadline = std::min(this->deadline, latest);
     this->arm_timer();
 }
