--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -70,9 +70,6 @@
     result.is_extra_history_known = settings.is_first_start;
     result.cold_overshoot = settings.cold_overshoot;
     result.cold_slack = settings.cold_slack;
-    result.quota_window = settings.quota_window;
-    result.quota_overshoot = settings.quota_overshoot;
-    result.quota_slack = settings.quota_slack;
     result.seed = core::base::hash_of(settings.node_name);
     return result;
 }
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -104,9 +104,6 @@
 {
     this->settings.cold_overshoot = changed.cold_overshoot;
     this->settings.cold_slack = changed.cold_slack;
-    this->settings.quota_window = changed.quota_window;
-    this->settings.quota_overshoot = changed.quota_overshoot;
-    this->settings.quota_slack = changed.quota_slack;
     this->extras.set_bound(
         changed.extras.ratio, changed.extras.slack, changed.extras.window);
 }
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -40,11 +40,6 @@
     /// sends per second.
     double cold_overshoot = 1.5;
     double cold_slack = 5;
-    /// An organisation gets in any span of this length, over all nodes, at most
-    /// its quota x (1 + overshoot) + slack.
-    std::chrono::milliseconds quota_window{5000};
-    double quota_overshoot = 0.1;
-    double quota_slack = 20;
     /// Makes the random choices of nodes differ.
     std::uint64_t seed = 0;
 };
