Quotas: name the time of the next credit in a denial

Cause: while an organisation sent 7.5 times its rate, each refused request asked the pooling node for credit several times during its wait of 100 ms, and all were told the same time to return. The selection of pooling nodes hashed the names of all entries every 200 ms.

Change: a denial names the time at which credit is available after the requests denied before; a request that would wait longer than 100 ms is refused at once. Pooling nodes are selected again only when the heard entries change.

--- a/src/core/relay/quota_ledger.cpp
+++ b/src/core/relay/quota_ledger.cpp
@@ -40,6 +40,10 @@
 /// request has lacked credit for this long.
 constexpr std::chrono::seconds shortage_gap{1};
 
+/// A node that was denied credit asks again after this time at the latest:
+/// others may need less than before.
+constexpr std::chrono::milliseconds denial_hold{50};
+
 /// Time constant of the average of an organisation's requests at this node.
 constexpr std::chrono::milliseconds rate_time{500};
 
@@ -205,22 +209,30 @@
         state.short_since = now;
     }
     state.short_at = now;
-    if (now - state.short_since < quota_wait_limit)
+    const auto first = state.denied_until > now
+                           ? state.promised
+                           : now + time_to_credit(state.account.available(),
+                                                  state.account.rate());
+    const bool may_wait = now - state.short_since < quota_wait_limit &&
+                          first - now < quota_wait_limit;
+    if (may_wait)
     {
         return {.may_wait = true, .retry_after = wait_step};
     }
     ++this->counters.refused;
-    const auto first = state.denied_until > now
-                           ? state.denied_until
-                           : now + time_to_credit(state.account.available(),
-                                                  state.account.rate());
-    // The next ones are told later times, so that they do not all come back for
-    // the same credit.
+    return {.retry_after = promise(state, first, now)};
+}
+
+duration quota_ledger::promise(organisation_state& state,
+                               time_point first,
+                               time_point now)
+{
+    // Later requests are told later times, so that they do not all come back
+    // for the same credit.
     const auto step = from_seconds(1.0 / state.limit.rate_per_second);
-    state.next_free = std::max(first, state.next_free + step);
-    const auto latest = now + duration(max_retry);
-    state.next_free = std::min(state.next_free, latest);
-    return {.retry_after = state.next_free - now};
+    state.next_free = std::min(std::max(first, state.next_free + step),
+                               now + duration(max_retry));
+    return state.next_free - now;
 }
 
 void quota_ledger::count_use(organisation_state& state, time_point now)
@@ -441,9 +453,14 @@
         state.sent_grants[node] = {asked_at, credit, now};
         return result;
     }
-    result.wait =
-        time_to_credit(state.account.available(), state.account.rate());
     result.is_pool_growing = this->is_pool_growing(state, slot, now);
+    if (!result.is_pool_growing)
+    {
+        result.wait = promise(state,
+                              now + time_to_credit(state.account.available(),
+                                                   state.account.rate()),
+                              now);
+    }
     return result;
 }
 
@@ -469,7 +486,8 @@
     }
     else if (!grant.is_pool_growing)
     {
-        state.denied_until = now + grant.wait;
+        state.promised = now + grant.wait;
+        state.denied_until = now + std::min(grant.wait, duration(denial_hold));
     }
 }
 
--- a/src/core/relay/quota_ledger.hpp
+++ b/src/core/relay/quota_ledger.hpp
@@ -142,6 +142,7 @@
         /// Latest tries of waiting requests; each tries once per wait_step.
         std::deque<base::time_point> waiting;
         base::time_point denied_until{};
+        base::time_point promised{};    ///< when credit is available
         base::time_point short_since{}; ///< start of the last shortage
         base::time_point short_at{};    ///< last request without credit
         base::time_point next_free{};   ///< latest time promised in Retry-After
@@ -172,6 +173,10 @@
                    organisation_state& state,
                    const std::string& node,
                    base::time_point now);
+    /// The time until a request that lacks credit should come again.
+    static base::duration promise(organisation_state& state,
+                                  base::time_point first,
+                                  base::time_point now);
     quota_decision refuse(organisation_state& state, base::time_point now);
     organisation_state& state_of(std::string_view organisation);
     quota_grant grant(const quota_ask& ask,
--- a/src/core/relay/quota_shares.cpp
+++ b/src/core/relay/quota_shares.cpp
@@ -104,9 +104,13 @@
     {
         this->is_history_known = false;
     }
+    const bool is_changed = is_holder != this->is_holder;
     this->is_holder = is_holder;
     this->was_holder = this->was_holder || is_holder;
-    this->select_pooling_nodes(now);
+    if (is_changed)
+    {
+        this->select_pooling_nodes(now);
+    }
     this->update(now);
 }
 
@@ -126,6 +130,8 @@
 void quota_shares::set_heard_entries(std::vector<std::string> names,
                                      time_point now)
 {
+    // The selection hashes all names, so it is made only after a change.
+    const bool is_changed = names != this->heard;
     this->heard = std::move(names);
     const bool is_isolated =
         this->is_holder && now - this->majority_heard_at > isolation_limit;
@@ -140,7 +146,10 @@
         }
         this->majority_heard_at = now;
     }
-    this->select_pooling_nodes(now);
+    if (is_changed)
+    {
+        this->select_pooling_nodes(now);
+    }
 }
 
 void quota_shares::select_pooling_nodes(time_point now)
--- a/tests/support/quota_simulation.hpp
+++ b/tests/support/quota_simulation.hpp
@@ -36,6 +36,7 @@
         std::string name;
         std::unique_ptr<core::relay::quota_ledger> ledger;
         bool is_running = false;
+        std::uint64_t rank = 0;
         std::uint64_t incarnation = 0;
         int side = 0; ///< nodes of different sides are cut off
         std::vector<time_point> last_heard; ///< of each other node
@@ -53,7 +54,10 @@
     std::size_t add(bool is_first = false)
     {
         this->nodes.emplace_back();
-        this->nodes.back().name = "n" + std::to_string(this->nodes.size() - 1);
+        auto& added = this->nodes.back();
+        added.name = "n" + std::to_string(this->nodes.size() - 1);
+        added.rank = core::base::hash_of(
+            added.name, core::base::hash_of(core::relay::quota_rank_key));
         for (auto& item : this->nodes)
         {
             item.last_heard.resize(this->nodes.size(), this->clock);
@@ -241,11 +245,6 @@
         {
             return;
         }
-        const auto rank_of = [](const std::string& name)
-        {
-            return core::base::hash_of(
-                name, core::base::hash_of(core::relay::quota_rank_key));
-        };
         std::vector<std::string> heard;
         unsigned count = 1;
         std::size_t rank = 0;
@@ -261,10 +260,7 @@
             }
             const auto age = this->clock - item.last_heard[i];
             count += age <= retention ? 1 : 0;
-            rank += age <= retention &&
-                            rank_of(this->nodes[i].name) < rank_of(item.name)
-                        ? 1
-                        : 0;
+            rank += age <= retention && this->nodes[i].rank < item.rank ? 1 : 0;
             if (age <= silence)
             {
                 heard.push_back(this->nodes[i].name);
