--- a/src/core/relay/quota_shares.cpp
+++ b/src/core/relay/quota_shares.cpp
@@ -73,16 +73,14 @@
 {
     count = std::max(1U, count);
     const bool is_fewer = count < this->entry_count;
-    if (!is_fewer || this->hears_majority(this->entry_count))
-    {
-        this->entry_count = count;
-        this->fewer_since.reset();
-    }
-    else if (!this->fewer_since)
+    if (is_fewer && !this->fewer_since)
     {
         this->fewer_since = now;
     }
-    else if (now - *this->fewer_since >= minority_drop_delay)
+    const bool may_change = !is_fewer ||
+                            this->hears_majority(this->entry_count) ||
+                            now - *this->fewer_since >= minority_drop_delay;
+    if (may_change)
     {
         this->entry_count = count;
         this->fewer_since.reset();
@@ -104,9 +102,13 @@
     {
         this->is_history_known = false;
     }
+    const bool is_changed = is_holder != this->is_holder;
     this->is_holder = is_holder;
     this->was_holder = this->was_holder || is_holder;
-    this->select_pooling_nodes(now);
+    if (is_changed)
+    {
+        this->select_pooling_nodes(now);
+    }
     this->update(now);
 }
 
@@ -126,6 +128,8 @@
 void quota_shares::set_heard_entries(std::vector<std::string> names,
                                      time_point now)
 {
+    // The selection hashes all names, so it is made only after a change.
+    const bool is_changed = names != this->heard;
     this->heard = std::move(names);
     const bool is_isolated =
         this->is_holder && now - this->majority_heard_at > isolation_limit;
@@ -140,7 +144,10 @@
         }
         this->majority_heard_at = now;
     }
-    this->select_pooling_nodes(now);
+    if (is_changed)
+    {
+        this->select_pooling_nodes(now);
+    }
 }
 
 void quota_shares::select_pooling_nodes(time_point now)
