Untrusted clients: tests of the server's limits, mutations

Cause: two mutations (fields, read-ahead) were not detected when they were first run. Change: the fuzz test inserts a header with many fields; test_http_server has three cases for pipelined requests, bodies beyond the memory and connections without a request; a refusal for memory says so.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -57,7 +57,10 @@
 /// Unused buffers of connections without a request are kept up to this size.
 constexpr std::size_t max_kept_buffer_bytes = 8U << 10U;
 
-/// Size of the end of a header.
+/// Detail of a refusal.
+const std::string no_memory = "no memory for this request";
+
+/// The end of a header.
 constexpr std::string_view header_end = "\r\n\r\n";
 
 /// Shortest field line, `a:` and a line break.
@@ -371,8 +374,7 @@
             const auto freed = this->held() - sizeof(session);
             if (need == client_closure::memory && freed > min_freed_bytes)
             {
-                this->refuse(result_code::overloaded,
-                             "no memory for this request");
+                this->refuse(result_code::overloaded, no_memory);
                 return true;
             }
             this->send_refusal();
@@ -508,7 +510,7 @@
         }
         if (this->current == state::idle || this->current == state::receiving)
         {
-            this->refuse(result_code::overloaded, "no memory for this request");
+            this->refuse(result_code::overloaded, no_memory);
         }
         else
         {
@@ -651,8 +653,7 @@
             }
             else
             {
-                this->refuse(result_code::overloaded,
-                             "no memory for this request");
+                this->refuse(result_code::overloaded, no_memory);
             }
         }
         else
@@ -747,7 +748,9 @@
             : error == bhttp::error::header_limit
                 ? result_code::header_too_large
                 : result_code::malformed_request;
-        this->refuse(code, error.message());
+        this->refuse(code,
+                     this->parser->is_out_of_memory() ? no_memory
+                                                      : error.message());
     }
 
     void refuse(result_code code, const std::string& detail)
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -25,7 +25,7 @@
 /// A server that answers at once, and its callers.
 struct stopping_server
 {
-    stopping_server()
+    explicit stopping_server(adapters::http::server_accounting accounting = {})
     {
         adapters::http::server_handlers handlers;
         handlers.on_request = [this](const adapters::http::request& message,
@@ -56,8 +56,13 @@
         };
         adapters::http::server_limits limits;
         limits.header_bytes = 256U << 10U;
-        this->server = std::move(*adapters::http::server::listen(
-            this->io, "127.0.0.1", 0, std::move(handlers), limits));
+        this->server =
+            std::move(*adapters::http::server::listen(this->io,
+                                                      "127.0.0.1",
+                                                      0,
+                                                      std::move(handlers),
+                                                      limits,
+                                                      std::move(accounting)));
     }
 
     tcp::socket connect()
@@ -250,3 +255,67 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(client_limits)
+
+using core::relay::client_budget;
+using core::relay::client_closure;
+
+// Guards against: a client without an end of pipelined requests takes the
+// server from others.
+BOOST_AUTO_TEST_CASE(a_response_before_too_many_pipelined_requests_is_the_last)
+{
+    const auto budget = std::make_shared<client_budget>(
+        core::relay::client_limits{.pipelined = 3});
+    stopping_server limited({.budget = budget});
+    limited.answer_delay = 20ms;
+    auto usual = limited.connect();
+    auto many = limited.connect();
+    stopping_server::write(usual, request_text + request_text + request_text);
+    stopping_server::write(many, request_text);
+    limited.io.run_for(5ms);
+    stopping_server::write(many, request_text + request_text + request_text);
+    const auto text = limited.read(many);
+    BOOST_TEST(count(text, "whole") == 1U);
+    BOOST_TEST(count(text, "Connection: close") == 1U);
+    BOOST_TEST(count(limited.read(usual), "whole") == 3U);
+    BOOST_TEST(budget->closures(client_closure::pipelined) == 1U);
+}
+
+// Guards against: a body is received without a charge, or the charge stays
+// after the refusal.
+BOOST_AUTO_TEST_CASE(a_body_beyond_the_memory_is_refused_and_freed)
+{
+    const auto budget = std::make_shared<client_budget>(
+        core::relay::client_limits{.memory = 64U << 10U});
+    stopping_server limited({.budget = budget});
+    auto caller = limited.connect();
+    stopping_server::write(caller,
+                           "POST /x HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 90000\r\n\r\n" +
+                               std::string(89'000, 'x'));
+    const auto text = limited.read(caller);
+    BOOST_TEST(text.ends_with("no memory for this request"));
+    BOOST_TEST(limited.targets.empty());
+    BOOST_TEST(budget->held() < (16U << 10U));
+    auto other = limited.connect();
+    stopping_server::write(other, request_text);
+    BOOST_TEST(limited.read(other).ends_with("whole"));
+}
+
+// Guards against: clients that send nothing lock out new callers.
+BOOST_AUTO_TEST_CASE(a_new_caller_displaces_a_connection_without_a_request)
+{
+    const auto budget = std::make_shared<client_budget>(
+        core::relay::client_limits{.connections = 1, .grace = 10ms});
+    stopping_server limited({.budget = budget});
+    auto silent = limited.connect();
+    limited.io.run_for(20ms);
+    auto caller = limited.connect();
+    stopping_server::write(caller, request_text);
+    BOOST_TEST(limited.read(caller).ends_with("whole"));
+    BOOST_TEST(budget->connections() == 1U);
+    BOOST_TEST(budget->closures(client_closure::descriptors) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/test_parser_fuzz.cpp
+++ b/tests/unit/test_parser_fuzz.cpp
@@ -54,6 +54,10 @@
                                       "ffffffffffffffff\r\n",
                                       "-1",
                                       "a: b\r\n",
+                                      "\r\na:\r\nb:\r\nc:\r\nd:\r\ne:\r\nf:\r\n"
+                                      "g:\r\nh:\r\ni:\r\nj:\r\nk:\r\nl:\r\n"
+                                      "m:\r\nn:\r\no:\r\np:\r\nq:\r\nr:\r\n"
+                                      "s:\r\nt:\r\nu",
                                       std::string(700, 'z')};
 
 unsigned long number_from(const char* name, unsigned long fallback)
