--- a/src/core/relay/rollout_share.cpp
+++ b/src/core/relay/rollout_share.cpp
@@ -20,8 +20,8 @@
 constexpr std::chrono::milliseconds grant_lifetime{1200};
 
 /// Part of the share that the canary uses. The rest is for the shift, in which
-/// the new version gets all requests for up to a twentieth of the duration.
-constexpr double canary_fraction = 0.4;
+/// the new version gets most requests for up to a twentieth of the duration.
+constexpr double canary_fraction = 0.5;
 
 /// One send in this many goes to the earlier versions during the shift, so that
 /// a fault which begins then is seen in both.
--- a/tests/relay/test_rollouts.cpp
+++ b/tests/relay/test_rollouts.cpp
@@ -776,6 +776,21 @@
     BOOST_TEST((verdict_on({base, faulty}) == relay::rollout_verdict::bad));
 }
 
+// Guards against a fault of the site that the earlier versions, which have no
+// requests at that time, do not show.
+BOOST_AUTO_TEST_CASE(only_concurrent_responses_are_compared)
+{
+    relay::rollout_judge judge;
+    const time_point start{1h};
+    judge.record(start);
+    judge.on_counts("n", 1, {row(1, 0, 1000, 5), row(1, 3, 50, 0)});
+    judge.record(start + 3s);
+    judge.on_counts("n", 1, {row(1, 0, 1000, 5), row(1, 3, 100, 25)});
+    BOOST_TEST((judge.verdict() == relay::rollout_verdict::good));
+    judge.on_counts("n", 1, {row(1, 0, 1050, 5), row(1, 3, 100, 25)});
+    BOOST_TEST((judge.verdict() == relay::rollout_verdict::bad));
+}
+
 BOOST_AUTO_TEST_CASE(zones_are_compared_by_themselves)
 {
     const auto near = row(1, 0, 1000, 5);
