--- a/src/core/relay/replica.hpp
+++ b/src/core/relay/replica.hpp
@@ -17,7 +17,7 @@
     std::string address; ///< `ip:port`
     std::string zone;
     std::string version; ///< of its program
-    unsigned slots = 1; ///< maximum concurrent requests
+    unsigned slots = 1;  ///< maximum concurrent requests
     bool is_draining = false;
     std::chrono::milliseconds warm_up_left{0};
     std::uint64_t started_at = 0; ///< Unix ms; identifies the incarnation
--- a/tests/relay/test_rollouts.cpp
+++ b/tests/relay/test_rollouts.cpp
@@ -817,6 +817,10 @@
     const auto canary = simulation.count("v2", at, at + 20s);
     BOOST_TEST(canary > 100U);
     BOOST_TEST(canary <= simulation.count("v1", at, at + 20s) / 10 + 50);
+    // In the shift, 21 s to 22.5 s after the order, a tenth stays with v1.
+    const auto control = simulation.count("v1", at + 21500ms, at + 22300ms);
+    BOOST_TEST(control > 5U);
+    BOOST_TEST(control < 60U);
     simulation.check_good_is_completed();
 }
 
