--- a/tests/relay/test_replica_pace.cpp
+++ b/tests/relay/test_replica_pace.cpp
@@ -173,7 +173,8 @@
         {
             if ((at - start) % 200ms == duration(0))
             {
-                is_crowded = static_cast<double>(recent) > nodes / 3.0 / 5;
+                is_crowded = static_cast<double>(recent) >
+                             static_cast<double>(nodes) / 15;
                 recent = 0;
             }
             for (auto& pace : paces)
