--- a/tests/unit/test_parser_fuzz.cpp
+++ b/tests/unit/test_parser_fuzz.cpp
@@ -45,19 +45,21 @@
     "2\r\nok\r\n0\r\n\r\n",
     "HTTP/1.0 200 OK\r\nServer-Leaving: 1\r\nX-Warmup-Ms: 5\r\n\r\nto the end"};
 
+const std::string many_fields = "\r\na:\r\nb:\r\nc:\r\nd:\r\ne:\r\nf:\r\n"
+                                "g:\r\nh:\r\ni:\r\nj:\r\nk:\r\nl:\r\n"
+                                "m:\r\nn:\r\no:\r\np:\r\nq:\r\nr:\r\n"
+                                "s:\r\nt:\r\nu";
+
 const std::vector<std::string> tokens{"\r\n",
                                       "\r\n\r\n",
                                       ":",
-                                      "\0",
+                                      std::string(1, '\0'),
                                       "Content-Length: 99999999999999999999",
                                       "Transfer-Encoding: chunked\r\n",
                                       "ffffffffffffffff\r\n",
                                       "-1",
                                       "a: b\r\n",
-                                      "\r\na:\r\nb:\r\nc:\r\nd:\r\ne:\r\nf:\r\n"
-                                      "g:\r\nh:\r\ni:\r\nj:\r\nk:\r\nl:\r\n"
-                                      "m:\r\nn:\r\no:\r\np:\r\nq:\r\nr:\r\n"
-                                      "s:\r\nt:\r\nu",
+                                      many_fields,
                                       std::string(700, 'z')};
 
 unsigned long number_from(const char* name, unsigned long fallback)
--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -4,9 +4,13 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <filesystem>
+#include <fstream>
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include <platform/decode.hpp>
 #include <platform/replica_wire.hpp>
 
@@ -172,3 +176,41 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against: a limit of clients in the settings that is not in force.
+BOOST_AUTO_TEST_CASE(limits_of_clients_are_read_or_have_defaults)
+{
+    const auto path = std::filesystem::temp_directory_path() /
+                      ("decode-" + std::to_string(getpid()) + ".yaml");
+    const auto read = [&path](const std::string& bounds)
+    {
+        std::ofstream(path)
+            << "nodeName: n\nzone: z\nzones: {z: r}\nipAddress: 127.0.0.1\n"
+               "listenAddresses: {frontend: '127.0.0.1:1', "
+               "ready: '127.0.0.1:2', directory: '127.0.0.1:3'}\n"
+               "internalPortRange: [7380, 7395]\n"
+               "limits: {memoryMb: 160, fdLimit: 8000}\n"
+               "platform: {address: '127.0.0.1:4'}\nbounds: {"
+            << bounds << "}\n";
+        auto settings = platform::decode_settings(path.string());
+        std::filesystem::remove(path);
+        return settings;
+    };
+    const auto usual = read("");
+    BOOST_TEST_REQUIRE(usual.has_value(), (usual ? "" : usual.error().detail));
+    BOOST_TEST(usual->descriptor_limit == 8000U);
+    BOOST_TEST(usual->clients.memory_share == 0.3);
+    BOOST_TEST(usual->clients.pipelined == 64U);
+    const auto changed =
+        read("clientMemoryShare: 0.2, clientDescriptorShare: 0.5, "
+             "clientGraceMs: 300, clientProgressBytes: 9, "
+             "clientMaxFields: 50, clientMaxPipelined: 7");
+    BOOST_TEST_REQUIRE(changed.has_value());
+    BOOST_TEST(changed->clients.memory_share == 0.2);
+    BOOST_TEST(changed->clients.descriptor_share == 0.5);
+    BOOST_TEST((changed->clients.grace == 300ms));
+    BOOST_TEST(changed->clients.progress_bytes == 9U);
+    BOOST_TEST(changed->clients.fields == 50U);
+    BOOST_TEST(changed->clients.pipelined == 7U);
+    BOOST_TEST(!read("clientMemoryShare: 1.5").has_value());
+}
