Roll-outs: test that both nodes get the grants over sockets

The node that decides completes a roll-out by itself when the other node hears no grant.

Change: the test over sockets reads from the metrics of both nodes that each has sent requests to the new version. The two metrics pages count among the answers with status 200.

With the mutation, built by hand, a_good_version_is_completed fails.

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1162,6 +1162,16 @@
 {
     relay_cluster cluster(2);
     BOOST_TEST(run_rollout(cluster, false) == "completed");
+    cluster.run_for(100ms); // until the last request is answered
+    // Both nodes had the grants of the one that decides.
+    for (const auto& node : cluster.settings)
+    {
+        const auto page = cluster.get(node.metrics, "/metrics");
+        BOOST_TEST_REQUIRE(page.has_value());
+        BOOST_TEST(
+            page->body.find("hawthornrelay_target_version_sends_total 0\n") ==
+            std::string::npos);
+    }
     cluster.run_for(100ms);
     const auto before = cluster.arrivals_by_version;
     BOOST_TEST(before.at("v2") > 20U);
@@ -1173,7 +1183,8 @@
     cluster.run_for(100ms);
     BOOST_TEST(cluster.arrivals_by_version.at("v1") == before.at("v1"));
     BOOST_TEST(cluster.arrivals_by_version.at("v2") >= before.at("v2") + 40);
-    BOOST_TEST(cluster.count(200) == cluster.query_count);
+    BOOST_TEST(cluster.count(200) ==
+               cluster.query_count + cluster.settings.size());
 }
 
 BOOST_AUTO_TEST_CASE(a_bad_version_is_rolled_back)
