--- a/tests/relay/test_rollouts.cpp
+++ b/tests/relay/test_rollouts.cpp
@@ -352,7 +352,8 @@
         return made;
     }
 
-    void add_replica(simulated_node& node, const std::string& version, int i)
+    void
+    add_replica(simulated_node& node, const std::string& version, int i) const
     {
         relay::replica_record record;
         record.id = version + "-" + std::to_string(i);
