Replica estimate: count the queue in other zones like the work there

Cause: reports of work have aged by the time that a request arrives, so noise sent requests to other zones. Change: where replicas report their work, another zone costs twice as much, queue included.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -740,9 +740,8 @@
     this->settings.max_address_ttl = changed.max_address_ttl;
     this->clients->set_limits(to_client_limits(changed));
     this->engine.set_bounds(to_engine_settings(changed));
-    this->quotas.ledger.set_bounds(changed.quota_window,
-                                   changed.quota_overshoot,
-                                   changed.quota_slack);
+    this->quotas.ledger.set_bounds(
+        changed.quota_window, changed.quota_overshoot, changed.quota_slack);
     this->rollouts.set_bounds(changed.rollouts, changed.min_lease);
     this->members.set_seeds(changed.seeds);
     this->log.write(log_event::settings_reloaded,
--- a/src/core/relay/relay_settings.hpp
+++ b/src/core/relay/relay_settings.hpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include <core/relay/rollout_control.hpp>
 #include <core/relay/client_budget.hpp>
+#include <core/relay/rollout_control.hpp>
 
 namespace hawthornrelay::core::relay
 {
--- a/src/core/relay/replica_health.cpp
+++ b/src/core/relay/replica_health.cpp
@@ -185,7 +185,8 @@
     const double expected = this->slowness(now);
     if (this->load.work_factor)
     {
-        return expected * distance_factor + this->queueing_cost(expected, now) +
+        return (expected + this->queueing_cost(expected, now)) *
+                   distance_factor +
                failures;
     }
     const double utilization =
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -23,6 +23,10 @@
 /// between zones.
 constexpr double remote_zone_factor = 1.5;
 
+/// The same for replicas that report how long work takes: by the time that a
+/// request arrives there, the report that made it look better has aged.
+constexpr double reporting_remote_zone_factor = 2.0;
+
 /// Added cost of a stalled replica: its oldest send waits longer than usual.
 constexpr double stall_cost = 6.0;
 
@@ -194,8 +198,11 @@
         const auto& candidate =
             candidates[(i + this->rotation) % candidates.size()];
         const bool is_same_zone = candidate->record.zone == this->settings.zone;
-        double cost = candidate->health.cost(
-            is_same_zone ? 1.0 : remote_zone_factor, now);
+        const double remote_factor = candidate->health.reports_work()
+                                         ? reporting_remote_zone_factor
+                                         : remote_zone_factor;
+        double cost =
+            candidate->health.cost(is_same_zone ? 1.0 : remote_factor, now);
         if (candidate->health.oldest_wait(now) > stall_threshold)
         {
             cost += stall_cost;
--- a/src/core/relay/request_execution_quota.cpp
+++ b/src/core/relay/request_execution_quota.cpp
@@ -21,10 +21,11 @@
     }
     const bool has_limit =
         this->caller != nullptr && this->caller->rate_per_second > 0;
-    return has_limit ? std::optional(organisation_quota{
-                           this->caller->name,
-                           {this->caller->rate_per_second, this->caller->burst}})
-                     : std::nullopt;
+    return has_limit
+               ? std::optional(organisation_quota{
+                     this->caller->name,
+                     {this->caller->rate_per_second, this->caller->burst}})
+               : std::nullopt;
 }
 
 void request_execution::take_quota()
