--- a/bench/quotas.cpp
+++ b/bench/quotas.cpp
@@ -84,7 +84,7 @@
                     static_cast<double>(busiest) / seconds,
                 largest,
                 fleet.most_in("acme", 5s),
-                85 * 20 - within,
+                std::size_t{85} * 20 - within,
                 85 * 20);
     std::fflush(stdout);
 }
