--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -21,9 +21,6 @@
 /// counts as silent.
 constexpr std::chrono::milliseconds beacon_interval{200};
 
-/// Many replicas may crash at once.
-constexpr std::chrono::milliseconds min_announce_interval{20};
-
 /// A standby sends beacons once in this many rounds.
 constexpr unsigned rounds_per_standby_beacon = 3;
 
@@ -303,19 +300,6 @@
                                   });
 }
 
-void membership::announce()
-{
-    const auto now = this->deps.runtime.now();
-    if (now - this->announced_at < min_announce_interval ||
-        !this->role.is_entry())
-    {
-        return;
-    }
-    this->announced_at = now;
-    this->update_self();
-    this->send_beacons();
-}
-
 void membership::send_beacons()
 {
     std::set<std::string> addresses;
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -73,10 +73,6 @@
     /// @brief Announces that this node is stopping and ends its lease.
     void stop();
 
-    /// @brief Sends beacons now, unless some were announced just before. Makes
-    ///        other nodes know of a crash before the caller tries again.
-    void announce();
-
     /// @brief Changes the `ip:port` of the nodes that are asked while no other
     ///        node is known or the mirror is incomplete.
     void set_seeds(std::vector<std::string> addresses);
@@ -124,7 +120,6 @@
     source_switch source;
     bool is_stopping = false;
     unsigned rounds = 0;
-    core::base::time_point announced_at{};
 };
 
 } // namespace hawthornrelay::adapters::relay
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -233,14 +233,6 @@
         {
             this->engine.on_possible_restart(target);
         };
-        this->engine.on_crash_found = [this]
-        {
-            this->runtime.call_after(core::base::duration(0),
-                                     [this]
-                                     {
-                                         this->members.announce();
-                                     });
-        };
         this->engine.on_quarantined = [this](core::base::fingerprint refused)
         {
             this->quarantine.write(refused);
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -496,10 +496,6 @@
                          {"fingerprint", std::to_string(item.subject.request)},
                          {"new", item.is_new ? "1" : "0"},
                          {"crashes", std::to_string(count)}});
-        if (item.is_crash && item.is_new && this->on_crash_found)
-        {
-            this->on_crash_found();
-        }
         const auto& refused =
             this->crashes.must_refuse(item.subject.request, now)
                 ? item.subject.request
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -164,9 +164,6 @@
     /// @brief Crash reports to send to other nodes.
     [[nodiscard]] std::vector<crash_report> crashes_to_report();
 
-    /// @brief Called when a crash is recorded that other nodes do not know.
-    std::function<void()> on_crash_found;
-
     /// @brief Called with the fingerprint of a request, or a part, that is
     ///        refused from now on.
     std::function<void(base::fingerprint)> on_quarantined;
--- a/src/core/relay/request_execution.cpp
+++ b/src/core/relay/request_execution.cpp
@@ -78,10 +78,6 @@
 
 constexpr unsigned first_server_error = 500;
 
-/// A search after whose earlier attempts replicas crashed is sent to this many
-/// shards; the others follow after an answer.
-constexpr std::size_t probed_parts = 2;
-
 /// One in this many searches logs the names of its replicas at its start. A
 /// search may have 60 of them, so logging all would dominate the log.
 constexpr std::uint64_t named_search_sample = 16;
@@ -205,59 +201,14 @@
                    this->retry_delay(targets));
         return;
     }
-    const bool is_probed = this->is_probe();
     for (std::size_t i = 0; i < targets.size(); ++i)
     {
-        if (targets[i] == nullptr)
-        {
-            continue;
-        }
-        this->parts[i].is_failed = false;
-        this->parts[i].is_held_back = is_probed;
-        if (!is_probed)
+        if (targets[i] != nullptr)
         {
+            this->parts[i].is_failed = false;
             this->send(i, targets[i], false);
         }
     }
-    if (is_probed)
-    {
-        this->send_probes();
-    }
-}
-
-void request_execution::send_probes()
-{
-    std::size_t sent = 0;
-    for (std::size_t i = 0; i < this->parts.size(); ++i)
-    {
-        // Attempts of a request begin at different shards.
-        const auto index = (this->number + i) % this->parts.size();
-        auto& part = this->parts[index];
-        if (!part.is_held_back || sent == probed_parts)
-        {
-            continue;
-        }
-        part.is_held_back = false;
-        if (this->send_next_attempt(index, attempt_reason::not_sent))
-        {
-            ++sent;
-        }
-        else
-        {
-            part.is_failed = true;
-        }
-    }
-}
-
-bool request_execution::is_probe() const
-{
-    return this->matched_route->is_search() &&
-           std::any_of(this->parts.begin(),
-                       this->parts.end(),
-                       [](const part_state& part)
-                       {
-                           return part.has_earlier_crashes;
-                       });
 }
 
 duration
@@ -701,13 +652,6 @@
         {
             failed.is_failed = true;
         }
-        const bool is_next_probe_due =
-            this->is_probe() && !this->has_answered_part &&
-            this->broken_attempts == 0 && !this->is_anything_pending();
-        if (is_next_probe_due)
-        {
-            this->send_probes();
-        }
     }
     this->check_progress();
     this->arm_timer();
--- a/src/core/relay/request_execution.hpp
+++ b/src/core/relay/request_execution.hpp
@@ -138,12 +138,6 @@
     [[nodiscard]] base::duration hedge_delay(const replica& target) const;
     [[nodiscard]] base::duration max_hedge_delay() const;
     void send_first_attempts();
-    /// Tells whether a search goes to a few shards first, since a crash is on
-    /// record for it.
-    [[nodiscard]] bool is_probe() const;
-    /// Sends a few of the parts that are held back.
-    void send_probes();
-    [[nodiscard]] bool is_anything_pending() const;
     /// Retry-After if too few replicas can get the request: set by replicas
     /// whose limits are used up or that asked for a pause.
     [[nodiscard]] base::duration
--- a/src/core/relay/request_execution_attempts.cpp
+++ b/src/core/relay/request_execution_attempts.cpp
@@ -335,17 +335,12 @@
         return !part.answer;
     }
     // A part that is held back waits for the answer of any other part.
-    return part.is_held_back && !this->is_anything_pending();
-}
-
-bool request_execution::is_anything_pending() const
-{
-    return std::any_of(this->parts.begin(),
-                       this->parts.end(),
-                       [this](const part_state& part)
-                       {
-                           return this->is_pending(part);
-                       });
+    return part.is_held_back && std::none_of(this->parts.begin(),
+                                             this->parts.end(),
+                                             [this](const part_state& other)
+                                             {
+                                                 return this->is_pending(other);
+                                             });
 }
 
 void request_execution::log_next_attempt(base::log_event event,
