--- a/tests/relay/test_organisations.cpp
+++ b/tests/relay/test_organisations.cpp
@@ -31,9 +31,10 @@
 
     /// Brings a version into force in which organisations have these keys; the
     /// route `/l/` is public.
-    void configure(std::vector<std::pair<std::string, std::string>> keys)
+    void configure(const std::vector<std::pair<std::string, std::string>>& keys)
     {
         std::vector<core::relay::organisation_keys> entries;
+        entries.reserve(keys.size());
         for (const auto& [name, key] : keys)
         {
             entries.push_back(
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1203,7 +1203,7 @@
         {
             const auto status = json::parse(stored).as_object();
             BOOST_TEST(status.at("targetVersion").as_string() == "v2");
-            const std::string state(status.at("state").as_string());
+            std::string state(status.at("state").as_string());
             if (state != "running")
             {
                 return state;
