--- /dev/null
+++ b/review/standin-2/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled into the stand-ins.
+#include <boost/json/src.hpp>
