--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1023,6 +1023,25 @@
     check_served_by_all(cluster, "/two/x");
 }
 
+// Guards against: after a restart of all nodes none can list the store, since a
+// registration whose name has reserved characters ends a page of the listing.
+BOOST_AUTO_TEST_CASE(nodes_list_the_store_past_odd_names)
+{
+    for (const std::size_t page_size : {1U, 2U, 3U, 4U})
+    {
+        relay_cluster cluster(0);
+        cluster.store.page_size = page_size;
+        for (const auto* name : {"&", "+", "#", "%", "%41", " ", "a=b?c/", "é"})
+        {
+            cluster.store.write("servers/" + std::string(name), "{}");
+        }
+        cluster.add_node("node-0");
+        cluster.add_node("node-1");
+        cluster.io.run_for(1200ms);
+        check_served_by_all(cluster, "/one/x");
+    }
+}
+
 // Guards against: what the nodes have stored themselves is missing after a
 // restore, so that nodes which start do not find it.
 BOOST_AUTO_TEST_CASE(nodes_store_again_what_a_restore_has_lost)
--- /dev/null
+++ b/tests/relay/test_store_client.cpp
@@ -0,0 +1,117 @@
+// Tests of the client of the users' key-value store, against a stand-in.
+#define BOOST_TEST_MODULE store_client
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include <platform/store_client.hpp>
+#include <support/platform_store.hpp>
+
+using namespace hawthornrelay;
+using namespace std::chrono_literals;
+using core::base::result;
+using ports::store_page;
+using tests::support::platform_store;
+
+namespace
+{
+
+/// A store and a client that waits for each answer.
+struct store_reader
+{
+    result<store_page> list(const std::string& after)
+    {
+        return this->wait_for(
+            [&](const ports::store_handler<store_page>& done)
+            {
+                this->client.list(after, done);
+            });
+    }
+
+    result<store_page> watch(std::uint64_t after)
+    {
+        return this->wait_for(
+            [&](const ports::store_handler<store_page>& done)
+            {
+                this->client.watch({after}, 50ms, done);
+            });
+    }
+
+    /// The keys of all pages, or of the first ones if a page cannot be read or
+    /// there are more pages than items.
+    std::vector<std::string> list_all(std::size_t max_pages)
+    {
+        std::vector<std::string> keys;
+        bool has_more = true;
+        for (std::size_t pages = 0; has_more && pages < max_pages; ++pages)
+        {
+            const auto page = this->list(keys.empty() ? "" : keys.back());
+            has_more = page && page->has_more && !page->items.empty();
+            for (std::size_t i = 0; page && i < page->items.size(); ++i)
+            {
+                keys.push_back(page->items[i].key);
+            }
+        }
+        return keys;
+    }
+
+    boost::asio::io_context io;
+    platform_store store{io};
+    platform::store_client client{
+        io, "127.0.0.1:" + std::to_string(store.port()), [] {}};
+
+  private:
+    template <typename Call>
+    result<store_page> wait_for(Call call)
+    {
+        result<store_page> outcome =
+            core::base::fail(core::base::result_code::deadline_expired, "");
+        bool is_done = false;
+        call(
+            [&](result<store_page> page)
+            {
+                outcome = std::move(page);
+                is_done = true;
+            });
+        const auto until = std::chrono::steady_clock::now() + 2s;
+        while (!is_done && std::chrono::steady_clock::now() < until)
+        {
+            this->io.run_one_for(10ms);
+        }
+        return outcome;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(listings)
+
+// Guards against: the key that ends a page is cut or changed on the way back to
+// the store, so that the same page comes again and again.
+BOOST_AUTO_TEST_CASE(any_byte_of_a_key_may_end_a_page)
+{
+    store_reader reader;
+    std::vector<std::string> written;
+    for (unsigned byte = 0; byte < 128; ++byte)
+    {
+        written.push_back("servers/" + std::string(1, static_cast<char>(byte)) +
+                          "x");
+    }
+    written.insert(written.end(), {"servers/\u00e9", "servers/\U0001f600"});
+    for (const auto& key : written)
+    {
+        reader.store.write(key, "{}");
+    }
+    for (const std::size_t page_size : {1U, 2U, 3U, 200U})
+    {
+        reader.store.page_size = page_size;
+        const auto listed = reader.list_all(written.size());
+        BOOST_TEST(listed == written, boost::test_tools::per_element());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -6,10 +6,12 @@
 #include <charconv>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <absl/strings/escaping.h>
+#include <boost/algorithm/hex.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -48,6 +50,14 @@
         this->append_change(key, false);
     }
 
+    /// Returns an item in listings and watches with a value that is no base64
+    /// text.
+    void write_undecodable(const std::string& key)
+    {
+        this->undecodable.insert(key);
+        this->write(key, "{}");
+    }
+
     void remove(const std::string& key)
     {
         if (this->items.erase(key) > 0)
@@ -114,6 +124,7 @@
     bool is_silent = false;       ///< leaves all calls unanswered
     unsigned refusal_status = 0;  ///< HTTP status for every call; 0: none
     unsigned answers_to_lose = 0; ///< number of writes done without an answer
+    std::size_t page_size = 500;  ///< items in a page of a listing
     std::size_t calls = 0;
     std::size_t listings = 0; ///< range reads
 
@@ -142,16 +153,40 @@
 
     using object = boost::json::object;
 
+    /// Decodes `+` and `%` as in form data, as most servers do.
+    static std::string decode_parameter(std::string text)
+    {
+        std::replace(text.begin(), text.end(), '+', ' ');
+        std::string result;
+        for (std::size_t at = 0; at < text.size(); ++at)
+        {
+            if (text[at] == '%')
+            {
+                result += boost::algorithm::unhex(text.substr(at + 1, 2));
+                at += 2;
+            }
+            else
+            {
+                result += text[at];
+            }
+        }
+        return result;
+    }
+
     static std::string query_parameter(const std::string& target,
                                        const std::string& name)
     {
-        const auto at = target.find(name + "=");
+        const auto query =
+            "&" +
+            target.substr(0, target.find('#')).substr(target.find('?') + 1);
+        const auto at = query.find("&" + name + "=");
         if (at == std::string::npos)
         {
             return {};
         }
-        const auto begin = at + name.size() + 1;
-        return target.substr(begin, target.find('&', begin) - begin);
+        const auto begin = at + name.size() + 2;
+        return decode_parameter(
+            query.substr(begin, query.find('&', begin) - begin));
     }
 
     static std::uint64_t parse_number(const std::string& text)
@@ -172,7 +207,7 @@
         respond(std::move(reply));
     }
 
-    static object to_event(const change& item)
+    [[nodiscard]] object to_event(const change& item) const
     {
         object result{{"key", item.key}, {"revision", item.revision}};
         if (item.is_removed)
@@ -181,7 +216,9 @@
         }
         else
         {
-            result["value"] = absl::Base64Escape(item.value);
+            result["value"] = this->undecodable.contains(item.key)
+                                  ? "?"
+                                  : absl::Base64Escape(item.value);
             result["createdRevision"] = item.revision;
             result["leaseId"] = 0;
         }
@@ -242,18 +279,14 @@
         const auto path = message.target.substr(0, message.target.find('?'));
         if (path == "/v1/kv-range")
         {
-            ++this->listings;
-            boost::json::array list;
-            for (const auto& [key, item] : this->items)
+            try
             {
-                list.push_back(
-                    to_event({key, item.revision, false, item.value}));
+                this->list(message.target, respond);
+            }
+            catch (const std::exception&)
+            {
+                answer(respond, 400);
             }
-            answer(respond,
-                   200,
-                   {{"items", std::move(list)},
-                    {"hasMore", false},
-                    {"atRevision", this->revision}});
         }
         else if (path == "/v1/kv-watch")
         {
@@ -275,6 +308,30 @@
         }
     }
 
+    void list(const std::string& target,
+              const adapters::http::responder& respond)
+    {
+        ++this->listings;
+        boost::json::array page;
+        const auto prefix = query_parameter(target, "prefix");
+        auto next = this->items.upper_bound(query_parameter(target, "after"));
+        for (; next != this->items.end() && page.size() < this->page_size;
+             ++next)
+        {
+            const auto& [key, item] = *next;
+            if (key.starts_with(prefix))
+            {
+                page.push_back(
+                    to_event({key, item.revision, false, item.value}));
+            }
+        }
+        answer(respond,
+               200,
+               {{"items", std::move(page)},
+                {"hasMore", next != this->items.end()},
+                {"atRevision", this->revision}});
+    }
+
     void watch(const std::string& target,
                const adapters::http::responder& respond)
     {
@@ -392,6 +449,7 @@
     boost::asio::io_context& io;
     std::unique_ptr<adapters::http::server> server;
     std::map<std::string, stored_item> items;
+    std::set<std::string> undecodable; ///< keys
     std::vector<change> history;
     std::vector<std::shared_ptr<watcher>> watchers;
     std::uint64_t revision = 1;
