--- a/tests/relay/test_store_client.cpp
+++ b/tests/relay/test_store_client.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE store_client
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <vector>
@@ -114,4 +115,29 @@
     }
 }
 
+// Guards against: a key that is no UTF-8 makes its page unreadable.
+BOOST_AUTO_TEST_CASE(a_key_may_contain_invalid_utf8)
+{
+    store_reader reader;
+    std::vector<std::string> written;
+    for (const auto* name : {"\x80", "a\xff", "b\xc3", "c\xed\xa0\x80", "d"})
+    {
+        written.push_back("servers/" + std::string(name));
+    }
+    std::sort(written.begin(), written.end());
+    for (const auto& key : written)
+    {
+        reader.store.write(key, "{}");
+    }
+    for (const std::size_t page_size : {1U, 2U, 200U})
+    {
+        reader.store.page_size = page_size;
+        const auto listed = reader.list_all(written.size());
+        BOOST_TEST(listed == written, boost::test_tools::per_element());
+    }
+    const auto changes = reader.watch(1);
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_TEST(changes->items.size() == written.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
