Store client: leave out items that cannot be read, not their pages

What callers saw: while one item of the store could not be read, the nodes followed no change, and nodes that started served nothing.

Cause: the client read a page as a whole. One item without a key or a revision, or with a value that is no base64 text, made the call fail; the follower repeated it without end.

Change: each item is read by itself. One with a key and a revision but no value that can be decoded has an empty value, which counts as a document that cannot be decoded: what it named before is no longer used. Others are left out, counted and logged, at most once in 10 s (event 1066). The next page of a listing begins after the last key, also if its item was left out, so that such items may end a page or fill it.

--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -128,6 +128,9 @@
     event_row{
         log_event::quarantine_ignored, "quarantine_ignored", log_level::info},
     event_row{log_event::handler_failed, "handler_failed", log_level::error},
+    event_row{log_event::store_items_unreadable,
+              "store_items_unreadable",
+              log_level::warning},
     event_row{log_event::organisations_in_force,
               "organisations_in_force",
               log_level::info},
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -110,6 +110,7 @@
     send_unanswered = 1063,
     quarantine_ignored = 1064,
     handler_failed = 1065,
+    store_items_unreadable = 1066,
     organisations_in_force = 1070,
 
     rollout_ordered = 1085,
--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -26,6 +26,9 @@
 /// Delay after a failed call.
 constexpr std::chrono::milliseconds retry_delay{250};
 
+/// Shortest time between two log lines about unreadable items.
+constexpr std::chrono::seconds unreadable_log_interval{10};
+
 /// Items that lapsed in an outage are written again within this time after its
 /// end, including the time until the end is detected.
 constexpr std::chrono::milliseconds lapse_window{2500};
@@ -114,12 +117,14 @@
         this->call_later(retry_delay, &store_follower::start_listing);
         return;
     }
+    const auto next_after = page->next_after();
     std::move(page->items.begin(),
               page->items.end(),
               std::back_inserter(this->listing.items));
-    if (page->has_more && !page->items.empty())
+    this->listing.unreadable += page->unreadable;
+    if (page->has_more && !next_after.empty())
     {
-        this->list(this->listing.items.back().key);
+        this->list(next_after);
         return;
     }
     this->on_listed();
@@ -137,6 +142,7 @@
         return;
     }
     this->listed_at = this->runtime.now();
+    this->log_unreadable(listed.unreadable);
     const auto era_text = [](ports::store_era era)
     {
         return era ? std::to_string(*era) : std::string();
@@ -203,6 +209,7 @@
         this->record_outage();
     }
     this->on_success();
+    this->log_unreadable(page->unreadable);
     const bool has_changes = !page->items.empty();
     for (auto& item : page->items)
     {
@@ -248,6 +255,17 @@
     }
 }
 
+void store_follower::log_unreadable(std::size_t items)
+{
+    const auto now = this->runtime.now();
+    if (items > 0 && now >= this->next_unreadable_log)
+    {
+        this->next_unreadable_log = now + unreadable_log_interval;
+        this->log.write(base::log_event::store_items_unreadable,
+                        {{"items", std::to_string(items)}});
+    }
+}
+
 void store_follower::record_outage()
 {
     this->has_failed = true;
--- a/src/core/relay/store_follower.hpp
+++ b/src/core/relay/store_follower.hpp
@@ -72,6 +72,9 @@
                     base::result<ports::store_page> page);
     void on_success();
     void on_failure(const base::error& error);
+    /// Logs that a page had items that could not be read, at most once in an
+    /// interval.
+    void log_unreadable(std::size_t items);
     void call_later(base::duration delay, void (store_follower::*call)());
 
     ports::runtime& runtime;
@@ -84,6 +87,7 @@
     /// returns the changes during the listing.
     ports::store_page listing;
     base::time_point listed_at{};
+    base::time_point next_unreadable_log{};
     base::time_point last_answer{};
     base::time_point last_failure{};
     bool has_failed = false;
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -20,8 +20,8 @@
 /// @brief A key with its value, or the removal of a key.
 struct store_item
 {
-    std::string key;
-    std::string value;
+    std::string key;   ///< any bytes
+    std::string value; ///< any bytes; empty if it could not be decoded
     std::uint64_t revision = 0;
     bool is_removed = false;
     /// For removals: the store was unreachable shortly before, so the key's
@@ -57,6 +57,21 @@
     bool has_more = false;
     std::uint64_t revision = 0; ///< the store's revision when it answered
     store_era era{};
+    /// Number of items that were left out since their key or revision could not
+    /// be read.
+    std::size_t unreadable = 0;
+    /// Key of the last item, whether left out or not; empty if it is that of
+    /// `items`.
+    std::string last_key{};
+
+    /// @brief The key after which the next page of the listing begins; empty if
+    ///        the page has none.
+    [[nodiscard]] std::string next_after() const
+    {
+        return this->last_key.empty() && !this->items.empty()
+                   ? this->items.back().key
+                   : this->last_key;
+    }
 };
 
 /// @brief A key that must have a revision for a transaction to be applied.
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1042,6 +1042,34 @@
     }
 }
 
+// Guards against: an item that cannot be read stops the nodes from following
+// the store, and those that start from listing it.
+BOOST_AUTO_TEST_CASE(unreadable_items_do_not_stop_the_nodes)
+{
+    relay_cluster cluster(0);
+    cluster.store.page_size = 2;
+    const auto write = [&]
+    {
+        cluster.store.write_as("servers/a", 7);
+        cluster.store.write_as("servers/b", json::object{{"key", "servers/b"}});
+        cluster.store.write_as("servers/c",
+                               json::object{{"key", "servers/c"},
+                                            {"revision", 4},
+                                            {"value", "?"}});
+    };
+    write();
+    cluster.add_node("node-0");
+    cluster.add_node("node-1");
+    cluster.io.run_for(1500ms);
+    check_served_by_all(cluster, "/one/x");
+    write();
+    auto changed = relay_cluster::configuration(2);
+    changed.replace(changed.find("/one/"), 5, "/two/");
+    cluster.store.write("op/config", changed);
+    cluster.io.run_for(1500ms);
+    check_served_by_all(cluster, "/two/x");
+}
+
 // Guards against: what the nodes have stored themselves is missing after a
 // restore, so that nodes which start do not find it.
 BOOST_AUTO_TEST_CASE(nodes_store_again_what_a_restore_has_lost)
--- a/tests/relay/test_store_client.cpp
+++ b/tests/relay/test_store_client.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
 
 #include <platform/store_client.hpp>
 #include <support/platform_store.hpp>
@@ -21,6 +22,8 @@
 namespace
 {
 
+namespace json = boost::json;
+
 /// A store and a client that waits for each answer.
 struct store_reader
 {
@@ -47,11 +50,13 @@
     std::vector<std::string> list_all(std::size_t max_pages)
     {
         std::vector<std::string> keys;
+        std::string after;
         bool has_more = true;
         for (std::size_t pages = 0; has_more && pages < max_pages; ++pages)
         {
-            const auto page = this->list(keys.empty() ? "" : keys.back());
-            has_more = page && page->has_more && !page->items.empty();
+            const auto page = this->list(after);
+            has_more = page && page->has_more;
+            after = page ? page->next_after() : "";
             for (std::size_t i = 0; page && i < page->items.size(); ++i)
             {
                 keys.push_back(page->items[i].key);
@@ -87,6 +92,41 @@
     }
 };
 
+/// An item that is written under a key and returned as `returned`, and whether
+/// its key and revision can be read from that.
+struct odd_item
+{
+    json::value returned;
+    bool is_identified;
+};
+
+std::vector<odd_item> odd_items(const std::string& key)
+{
+    return {{{{"key", key}, {"revision", 9}, {"value", "?"}}, true},
+            {{{"key", key}, {"revision", 9}, {"value", 7}}, true},
+            {{{"key", key}, {"revision", 9}, {"value", nullptr}}, true},
+            {{{"key", key}, {"revision", "9"}, {"value", "e30="}}, false},
+            {{{"key", key}, {"revision", -1}, {"value", "e30="}}, false},
+            {{{"key", key}, {"revision", 0.5}, {"value", "e30="}}, false},
+            {{{"key", key}, {"value", "e30="}}, false},
+            {{{"key", 7}, {"revision", 9}, {"value", "e30="}}, false},
+            {{{"revision", 9}, {"value", "e30="}}, false},
+            {json::object(), false},
+            {json::array{key}, false},
+            {"odd", false},
+            {nullptr, false}};
+}
+
+std::vector<std::string> keys_of(const store_page& page)
+{
+    std::vector<std::string> keys;
+    for (const auto& item : page.items)
+    {
+        keys.push_back(item.key);
+    }
+    return keys;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(listings)
@@ -140,4 +180,83 @@
     BOOST_TEST(changes->items.size() == written.size());
 }
 
+// Guards against: one item that cannot be read makes its page unreadable,
+// wherever in the page it stands.
+BOOST_AUTO_TEST_CASE(an_unreadable_item_hides_no_other)
+{
+    const std::vector<std::string> others{"servers/b", "servers/d"};
+    for (const auto* position : {"servers/a", "servers/c", "servers/e"})
+    {
+        for (const auto& odd : odd_items(position))
+        {
+            store_reader reader;
+            reader.store.write_as(position, odd.returned);
+            auto expected = others;
+            for (const auto& key : others)
+            {
+                reader.store.write(key, "{}");
+            }
+            if (odd.is_identified)
+            {
+                expected.emplace_back(position);
+                std::sort(expected.begin(), expected.end());
+            }
+            const auto page = reader.list({});
+            BOOST_TEST_REQUIRE(page.has_value(), odd.returned);
+            BOOST_TEST(keys_of(*page) == expected,
+                       boost::test_tools::per_element());
+            BOOST_TEST(page->unreadable == (odd.is_identified ? 0U : 1U));
+            for (const auto& item : page->items)
+            {
+                BOOST_TEST((item.value.empty() == (item.key == position)));
+                BOOST_TEST(!item.is_removed);
+            }
+        }
+    }
+}
+
+// Guards against: the pages after one that ends with such an item, or that
+// consists of them, are not read.
+BOOST_AUTO_TEST_CASE(an_unreadable_item_may_end_a_page)
+{
+    store_reader reader;
+    const std::vector<std::string> others{"servers/a", "servers/z"};
+    for (const auto& key : others)
+    {
+        reader.store.write(key, "{}");
+    }
+    for (const auto* key : {"servers/b&", "servers/c%", "servers/d"})
+    {
+        reader.store.write_as(key, json::object{{"key", key}});
+    }
+    for (const std::size_t page_size : {1U, 2U, 3U, 4U})
+    {
+        reader.store.page_size = page_size;
+        BOOST_TEST(reader.list_all(5) == others,
+                   boost::test_tools::per_element());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(watches)
+
+// Guards against: one change that cannot be read hides the others, or is
+// requested again and again.
+BOOST_AUTO_TEST_CASE(an_unreadable_change_hides_no_other)
+{
+    for (const auto& odd : odd_items("servers/b"))
+    {
+        store_reader reader;
+        reader.store.write("servers/a", "{}");
+        reader.store.write_as("servers/b", odd.returned);
+        reader.store.write("servers/c", "{}");
+        const auto page = reader.watch(1);
+        BOOST_TEST_REQUIRE(page.has_value(), odd.returned);
+        BOOST_TEST(page->items.size() == (odd.is_identified ? 3U : 2U));
+        BOOST_TEST(page->items.back().key == "servers/c");
+        BOOST_TEST(page->revision == 4U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -6,7 +6,6 @@
 #include <charconv>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -50,11 +49,10 @@
         this->append_change(key, false);
     }
 
-    /// Returns an item in listings and watches with a value that is no base64
-    /// text.
-    void write_undecodable(const std::string& key)
+    /// Writes a key that listings and watches return as the given value.
+    void write_as(const std::string& key, const boost::json::value& returned)
     {
-        this->undecodable.insert(key);
+        this->returned_as[key] = returned;
         this->write(key, "{}");
     }
 
@@ -207,8 +205,13 @@
         respond(std::move(reply));
     }
 
-    [[nodiscard]] object to_event(const change& item) const
+    [[nodiscard]] boost::json::value to_event(const change& item) const
     {
+        const auto found = this->returned_as.find(item.key);
+        if (!item.is_removed && found != this->returned_as.end())
+        {
+            return found->second;
+        }
         object result{{"key", item.key}, {"revision", item.revision}};
         if (item.is_removed)
         {
@@ -216,9 +219,7 @@
         }
         else
         {
-            result["value"] = this->undecodable.contains(item.key)
-                                  ? "?"
-                                  : absl::Base64Escape(item.value);
+            result["value"] = absl::Base64Escape(item.value);
             result["createdRevision"] = item.revision;
             result["leaseId"] = 0;
         }
@@ -449,7 +450,7 @@
     boost::asio::io_context& io;
     std::unique_ptr<adapters::http::server> server;
     std::map<std::string, stored_item> items;
-    std::set<std::string> undecodable; ///< keys
+    std::map<std::string, boost::json::value> returned_as; ///< by key
     std::vector<change> history;
     std::vector<std::shared_ptr<watcher>> watchers;
     std::uint64_t revision = 1;
