Store follower: a page that does not lead to the next one is a failure

What callers saw: nothing on their own. If a store or another node repeated a page, the copy of the listing grew until the process ran out of memory; after an empty page that announced more, all keys that were not listed yet counted as removed, so nothing was sent to their replicas.

Cause: the follower asked for the next page after whatever key came last, and took a page without items for the end of the listing.

Change: a page that announces more without leading to another key ends the listing as failed. What is known stays in force, and the listing is repeated after the usual delay.

--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -122,12 +122,21 @@
               page->items.end(),
               std::back_inserter(this->listing.items));
     this->listing.unreadable += page->unreadable;
-    if (page->has_more && !next_after.empty())
+    if (!page->has_more)
+    {
+        this->on_listed();
+    }
+    else if (next_after.empty() ||
+             next_after == std::exchange(this->listing.last_key, next_after))
+    {
+        this->on_failure({base::result_code::platform_bad_answer,
+                          "a page does not lead to the next one"});
+        this->call_later(retry_delay, &store_follower::start_listing);
+    }
+    else
     {
         this->list(next_after);
-        return;
     }
-    this->on_listed();
 }
 
 void store_follower::on_listed()
--- a/tests/relay/test_store_follower.cpp
+++ b/tests/relay/test_store_follower.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -135,6 +136,8 @@
     }
 
     ports::store_era era{1};
+    /// Returned for each page of a listing if set.
+    std::optional<ports::store_page> only_page;
 
   private:
     struct contents
@@ -163,6 +166,7 @@
         {
             page.items.push_back(item);
         }
+        page = this->only_page.value_or(page);
         page.revision = this->state.revision;
         page.era = this->era;
         return page;
@@ -349,6 +353,32 @@
     BOOST_TEST(fixture.store.listings - before <= 2U * 4U * 10U);
 }
 
+// Guards against: a store that repeats a page is listed without end, and all
+// keys after an empty page count as removed.
+BOOST_AUTO_TEST_CASE(a_page_that_does_not_lead_to_the_next_one)
+{
+    const ports::store_page repeated{{{"config", "1", 2}}, true};
+    const ports::store_page empty{{}, true};
+    for (const auto& page : {repeated, empty})
+    {
+        copies fixture;
+        const auto known = fixture.store.values();
+        const auto before = fixture.store.listings;
+        fixture.store.only_page = page;
+        fixture.store.take_copy();
+        fixture.store.restore_copy();
+        fixture.loop.run_for(10s);
+        BOOST_TEST(fixture.store.listings - before <= 2U * 2U * 4U * 10U);
+        BOOST_TEST((fixture.first.values() == known));
+        BOOST_TEST(!fixture.first.follower.is_reachable());
+        fixture.store.only_page.reset();
+        fixture.store.write("config", "2");
+        fixture.loop.run_for(2s);
+        BOOST_TEST(fixture.first.follower.is_reachable());
+        fixture.check_equal();
+    }
+}
+
 // Any sequence of writes, removals, outages and restores ends in equal copies.
 BOOST_AUTO_TEST_CASE(copies_end_equal_after_random_restores)
 {
