Decoding: refuse replica ids that no header field can hold

What callers saw: nothing yet. The name of an entry in the list of replicas is sent to the replica in a header field. With a line break in it, that field ended and what followed was read as fields or as a request of its own; with a blank at an end, the replica read another id and answered 421.

Cause: names were used as they came; only the documents were checked.

Other names, such as those with & or bytes that are not UTF-8, hold.

--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -129,6 +129,30 @@
     BOOST_TEST(!platform::decode_replica("", registration("", "")));
 }
 
+// Guards against: the name of an entry adds header fields or a request to what
+// is sent to its replica, or reaches the replica changed.
+BOOST_AUTO_TEST_CASE(an_id_that_no_header_field_can_hold_is_refused)
+{
+    const auto usual = registration("", "");
+    for (const std::string id : {"i\r\nX-Deadline-Ms: 9",
+                                 "i\r\n\r\nGET / HTTP/1.1",
+                                 "i\n",
+                                 "i\t",
+                                 "i ",
+                                 " i",
+                                 "\x1bi",
+                                 "i\x7f"})
+    {
+        BOOST_TEST(!platform::decode_replica(id, usual), id);
+    }
+    BOOST_TEST(!platform::decode_replica(std::string(1, '\0'), usual));
+    for (const auto* id :
+         {"a b", "a&b", "a/b", "%41", "#+", "\xc3\xa9", "\xff"})
+    {
+        BOOST_TEST(platform::decode_replica(id, usual).has_value(), id);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_bytes_do_no_harm)
 {
     rc::check(
