Node registrations: check name and addresses before they are used

What callers saw: nothing yet. An entry of another writer under nodes/ with the fields of a registration counted as an entry, and the directory sent callers to what it named as its address.

Cause: presence and type of the fields were checked, their contents were not.

Change: a registration without a name, or whose addresses are not an IP address and a port above 0, names no node and is logged as bad_input (906).

Test: odd_node_registrations_name_no_node failed before (odd addresses were returned to callers) and passes now.

--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <adapters/asio/socket.hpp>
 #include <core/relay/quarantine_writer.hpp>
 #include <platform/decode.hpp>
 #include <platform/names.hpp>
@@ -23,6 +24,12 @@
 namespace
 {
 
+bool is_reachable_address(const std::string& text)
+{
+    const auto endpoint = asio::parse_endpoint(text);
+    return endpoint && endpoint->port() > 0;
+}
+
 result<node_record> read_node_registration(std::string name,
                                            const std::string& value)
 {
@@ -42,6 +49,12 @@
             record.millicores = millicores->to_number<unsigned>();
         }
         record.is_entry = true;
+        if (record.name.empty() ||
+            !is_reachable_address(record.caller_address) ||
+            !is_reachable_address(record.peers))
+        {
+            throw std::invalid_argument("invalid name or address");
+        }
         return record;
     }
     catch (const std::exception& exception)
--- a/tests/relay/test_store_changes.cpp
+++ b/tests/relay/test_store_changes.cpp
@@ -80,6 +80,12 @@
             .size();
     }
 
+    /// Number of nodes that callers may use.
+    std::size_t usable_nodes() const
+    {
+        return this->nodes.usable(this->simulation.loop.now()).size();
+    }
+
     relay_simulation simulation{[](const relay::replica&, const std::string&)
                                 {
                                     return scripted_reply{};
@@ -252,3 +258,41 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(entries_of_other_writers)
+
+// Guards against: callers are sent to what an odd registration names as the
+// address of a node.
+BOOST_AUTO_TEST_CASE(odd_node_registrations_name_no_node)
+{
+    const auto registration =
+        [](const std::string& callers, const std::string& peers)
+    {
+        return fmt::format(
+            R"({{"run":1,"zone":"here","callers":"{}","peers":"{}"}})",
+            callers,
+            peers);
+    };
+    const std::string usual = "10.0.0.9:80";
+    changed_node node;
+    for (const auto* odd : {"",
+                            "nowhere",
+                            "10.0.0.9",
+                            "10.0.0.9:0",
+                            "h.example:80",
+                            "10.0.0.9:x"})
+    {
+        node.write("nodes/odd", registration(odd, usual));
+        node.write("nodes/odd", registration(usual, odd));
+    }
+    for (const auto* value : {"", "{", "[]", "7", "{}", R"({"run":"1"})"})
+    {
+        node.write("nodes/odd", value);
+    }
+    node.write("nodes/", registration(usual, usual));
+    BOOST_TEST(node.usable_nodes() == 0U);
+    node.write("nodes/a&b c", registration(usual, usual));
+    BOOST_TEST(node.usable_nodes() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
