Store changes: count undecodable items, and log each of them once

What operators saw: a line for each time that another writer wrote its entry, without bound, and no metric of it.

Cause: the handler wrote a warning whenever an item could not be decoded.

Change: each such item is logged once until it is decoded or removed, and at most 100 items at a time (unreadable_items); the counter unreadable_items has all of them. The configuration and orders of operators are still logged each time.

Test: an_unreadable_entry_is_logged_once_and_counted. With a line for each write, as before, its checks fail (20 lines instead of 1 for each of four keys, and 1,000 instead of at most 100).

--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -126,6 +126,18 @@
     }
 }
 
+void store_change_handler::on_unreadable(log_event event,
+                                         const ports::store_item& item,
+                                         const ports::log_field& subject,
+                                         const core::base::error& error)
+{
+    this->engine.counters.add(core::relay::relay_counter::unreadable_items);
+    if (this->unreadable.add(item.key))
+    {
+        this->log.write(event, {subject, {"error", error.detail}});
+    }
+}
+
 void store_change_handler::defer(const ports::store_item& item)
 {
     this->deferred[item.key] = {
@@ -139,6 +151,10 @@
 
 void store_change_handler::dispatch(const ports::store_item& item)
 {
+    if (item.is_removed)
+    {
+        this->unreadable.remove(item.key);
+    }
     if (item.key == names::configuration_key)
     {
         this->on_configuration(item);
@@ -220,8 +236,10 @@
     auto status = platform::decode_rollout_status(item.value);
     if (!status)
     {
-        this->log.write(log_event::rollout_unreadable,
-                        {{"key", item.key}, {"error", status.error().detail}});
+        this->on_unreadable(log_event::rollout_unreadable,
+                            item,
+                            {"key", item.key},
+                            status.error());
         return;
     }
     status->revision = item.revision;
@@ -249,8 +267,8 @@
     const auto refused = core::relay::read_quarantine_key(text);
     if (!refused)
     {
-        this->log.write(log_event::bad_input,
-                        {{"key", item.key}, {"error", refused.error().detail}});
+        this->on_unreadable(
+            log_event::bad_input, item, {"key", item.key}, refused.error());
         return;
     }
     if (item.is_restored && item.is_removed)
@@ -329,10 +347,13 @@
     if (!record)
     {
         this->engine.registry.remove_unreadable(id, now);
-        this->log.write(log_event::replica_unreadable,
-                        {{"replica", id}, {"error", record.error().detail}});
+        this->on_unreadable(log_event::replica_unreadable,
+                            item,
+                            {"replica", id},
+                            record.error());
         return;
     }
+    this->unreadable.remove(item.key);
     if (this->engine.registry.put(*record, now))
     {
         this->log.write(log_event::replica_listed,
@@ -359,11 +380,11 @@
         const auto record = read_node_registration(name, item.value);
         if (!record)
         {
-            this->log.write(
-                log_event::bad_input,
-                {{"key", item.key}, {"error", record.error().detail}});
+            this->on_unreadable(
+                log_event::bad_input, item, {"key", item.key}, record.error());
             return;
         }
+        this->unreadable.remove(item.key);
         this->nodes.on_registered(*record, now);
         this->log.write(log_event::node_listed,
                         {{"peer", name}, {"callers", record->caller_address}});
--- a/src/adapters/relay/store_change_handler.hpp
+++ b/src/adapters/relay/store_change_handler.hpp
@@ -10,6 +10,7 @@
 #include <core/relay/node_directory.hpp>
 #include <core/relay/request_engine.hpp>
 #include <core/relay/rollout_manager.hpp>
+#include <core/relay/unreadable_items.hpp>
 #include <ports/event_log.hpp>
 #include <ports/metadata_store.hpp>
 #include <ports/runtime.hpp>
@@ -66,6 +67,12 @@
     void dispatch(const ports::store_item& item);
     void dispatch_rollout(const ports::store_item& item);
     void defer(const ports::store_item& item);
+    /// Counts an item that cannot be decoded, and logs it if it is new.
+    /// @param subject the field of the log line that names the item
+    void on_unreadable(core::base::log_event event,
+                       const ports::store_item& item,
+                       const ports::log_field& subject,
+                       const core::base::error& error);
     void on_configuration(const ports::store_item& item);
     void on_zone(const std::string& zone, const ports::store_item& item);
     void on_replica(const std::string& id, const ports::store_item& item);
@@ -83,6 +90,7 @@
     std::chrono::milliseconds restored_item_delay;
     limits_handler on_limits;
     std::map<std::string, deferred_item> deferred;
+    core::relay::unreadable_items unreadable;
 };
 
 } // namespace hawthornrelay::adapters::relay
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -46,6 +46,7 @@
     quota_refusals,
     quota_asks,
     quota_messages,
+    unreadable_items,
     end
 };
 
@@ -82,7 +83,8 @@
                         "slow_start_deferrals",
                         "quota_refusals",
                         "quota_asks",
-                        "quota_messages"};
+                        "quota_messages",
+                        "unreadable_items"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/tests/relay/test_store_changes.cpp
+++ b/tests/relay/test_store_changes.cpp
@@ -3,6 +3,8 @@
 #define BOOST_TEST_MODULE store_changes
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <string>
 #include <vector>
 
 #include <fmt/format.h>
@@ -295,4 +297,56 @@
     BOOST_TEST(node.usable_nodes() == 1U);
 }
 
+// Guards against: another writer that writes its entries again and again, or
+// very many of them, fills the log. All are counted.
+BOOST_AUTO_TEST_CASE(an_unreadable_entry_is_logged_once_and_counted)
+{
+    changed_node node;
+    const auto lines = [&](const std::string& subject)
+    {
+        const auto& all = node.simulation.log.lines;
+        return std::count_if(all.begin(),
+                             all.end(),
+                             [&](const std::string& line)
+                             {
+                                 return line.find(subject + " error=") !=
+                                        std::string::npos;
+                             });
+    };
+    const auto counted = [&]
+    {
+        return node.simulation.engine.counters.values.at(
+            static_cast<std::size_t>(relay::relay_counter::unreadable_items));
+    };
+    for (const std::string key :
+         {"servers/a&b", "nodes/a b", "quarantine/x", "servers/"})
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            node.write(key, "?" + std::to_string(i));
+        }
+        const bool is_replica = key.starts_with("servers/");
+        BOOST_TEST(
+            lines(is_replica ? "replica=" + key.substr(8) : "key=" + key) == 1,
+            key);
+    }
+    BOOST_TEST(counted() == 80U);
+    node.write("servers/a&b", replica_value(1));
+    BOOST_TEST(node.usable("added") == 1U);
+    node.write("servers/a&b", "?");
+    BOOST_TEST(node.usable("added") == 0U);
+    node.remove("nodes/a b");
+    node.write("nodes/a b", "?");
+    BOOST_TEST(lines("replica=a&b") == 2);
+    BOOST_TEST(lines("key=nodes/a b") == 2);
+    const auto before = node.simulation.log.lines.size();
+    for (int i = 0; i < 1000; ++i)
+    {
+        node.write("servers/" + std::to_string(i), "?");
+    }
+    BOOST_TEST(node.simulation.log.lines.size() - before <=
+               relay::unreadable_items::max_logged);
+    BOOST_TEST(counted() == 1082U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
