Answers: a status outside 100 to 599 makes no answer

What callers saw: an answer of a replica in trouble with status 600 to 999 as it came. For 000 the server of the node closed their connection without an answer; with X-Not-Executed, such bytes even counted as the statement that the request had not run. The same bytes from a target of the own interface counted as its reply.

Cause: Beast accepts any three digits as a status, and nothing else checked them.

Change: both clients check the status of a complete message (is_status). An invalid one ends the attempt as broken, or target_lost at the own interface, and the connection is closed. So the request may have run: it is repeated only if it is idempotent. The store and other nodes were not concerned: any status but 200 is an error of the call there.

Tests: a_status_that_is_none_makes_no_answer failed before for 000, 001, 099, 600 and 999, with and without X-Not-Executed, and in a_status_that_is_none_makes_no_response for 000; both pass now. Statuses that are not three digits were refused already; the tests keep that.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -197,6 +197,12 @@
             return;
         }
         auto incoming = this->parser->release();
+        if (!is_status(incoming.result_int()))
+        {
+            this->fail_response("status " +
+                                std::to_string(incoming.result_int()));
+            return;
+        }
         if (this->is_to_skip(incoming))
         {
             if (++this->skipped_responses > max_skipped_responses)
--- a/src/adapters/relay/replica_connection.cpp
+++ b/src/adapters/relay/replica_connection.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 
 #include <adapters/asio/socket.hpp>
+#include <adapters/http/message.hpp>
 
 namespace hawthornrelay::adapters::relay
 {
@@ -281,6 +282,12 @@
 void replica_connection::on_answer()
 {
     auto message = this->parser->release();
+    if (!http::is_status(message.result_int()))
+    {
+        this->fail(send_result::broken,
+                   "answer: status " + std::to_string(message.result_int()));
+        return;
+    }
     if (const auto reason = this->reason_to_skip(message); !reason.empty())
     {
         this->skip_answer(reason);
--- a/tests/relay/test_replica_answers.cpp
+++ b/tests/relay/test_replica_answers.cpp
@@ -307,6 +307,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(bytes_that_are_no_answer)
+
+// Guards against: a caller gets an answer without a status, or the status tells
+// that the request has not run.
+BOOST_AUTO_TEST_CASE(a_status_that_is_none_makes_no_answer)
+{
+    for (const std::string& status : {"000",
+                                      "001",
+                                      "099",
+                                      "600",
+                                      "999",
+                                      "2",
+                                      "20",
+                                      "2000",
+                                      "-20",
+                                      "+20",
+                                      "2x0",
+                                      "0x2",
+                                      " 200",
+                                      ""})
+    {
+        for (const std::string& line : {"", "X-Not-Executed: 1\r\n"})
+        {
+            const auto head = "HTTP/1.1 " + status +
+                              " No\r\nX-Server-Stamp: s\r\n"
+                              "X-Request-Id: id-1\r\n" +
+                              line;
+            for (const std::string& rest :
+                 {"Content-Length: 3\r\n\r\nold",
+                  "Transfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n",
+                  "\r\n"})
+            {
+                exchange replica(
+                    [&](std::size_t)
+                    {
+                        return scripted_server::reply{
+                            {head + rest},
+                            "",
+                            scripted_server::reply::ending::closed};
+                    });
+                const auto outcome = replica.send("id-1");
+                BOOST_TEST((outcome.result == send_result::broken),
+                           head + rest);
+                BOOST_TEST(replica.is_closed);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(bytes_without_end)
 
 BOOST_AUTO_TEST_CASE(each_kind_ends_as_broken_before_the_deadline)
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -151,6 +151,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(bytes_that_are_no_response)
+
+// Guards against: a response without a status is taken for one of its server.
+BOOST_AUTO_TEST_CASE(a_status_that_is_none_makes_no_response)
+{
+    for (const std::string status :
+         {"000", "001", "099", "600", "999", "20", "2000", "2x0", ""})
+    {
+        client caller(
+            [&](std::size_t)
+            {
+                return only("HTTP/1.1 " + status +
+                            " No\r\nContent-Length: 3\r\n\r\nold");
+            });
+        const auto outcome = caller.send("id-1");
+        BOOST_REQUIRE(!outcome.has_value());
+        BOOST_TEST((outcome.error().code == result_code::target_lost), status);
+        BOOST_TEST(!caller.connection->is_open());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(bytes_without_end)
 
 BOOST_AUTO_TEST_CASE(each_kind_ends_as_lost)
