Answers: a folded header field makes no answer

What callers saw: an answer of a replica in trouble in whose head a line began with a blank or a tab. That line was joined to the field before it, so callers got a changed signature, or a body that was delimited without the Transfer-Encoding or Content-Length that the line named.

Cause: Beast joins such lines, as RFC 9112 allows (section 5.2). Whether they were meant as fields of their own cannot be told.

Change: an attempt whose answer has such a line in its head ends as broken, the other choice of RFC 9112 for a gateway, and its connection is closed. Names with a blank or a control byte anywhere else, or before the colon, were refused already, in the head and as the first trailer.

--- a/src/adapters/relay/replica_connection.cpp
+++ b/src/adapters/relay/replica_connection.cpp
@@ -42,6 +42,17 @@
 /// An idle connection is closed this long before the replica would close it.
 constexpr std::chrono::milliseconds keep_alive_margin{700};
 
+/// Tells whether a field is continued on a next line. The parser joins such
+/// lines; other recipients take the second one for a field of its own.
+/// @param text what is left of a head, and what follows it
+bool has_folded_field(std::string_view text)
+{
+    const bool is_over = text.starts_with("\r\n");
+    const auto head = text.substr(0, is_over ? 0 : text.find("\r\n\r\n"));
+    return head.find("\r\n ") != std::string_view::npos ||
+           head.find("\r\n\t") != std::string_view::npos;
+}
+
 /// Reads `timeout=N` (seconds) of a Keep-Alive header; 0 if there is none.
 std::chrono::milliseconds parse_keep_alive_timeout(std::string_view text)
 {
@@ -248,6 +259,15 @@
     boost::system::error_code error;
     while (this->buffer.size() > 0 && !this->parser->is_done())
     {
+        // The parser consumes no field before it has the byte after the line.
+        const auto unparsed = this->buffer.cdata();
+        if (!this->parser->is_header_done() &&
+            has_folded_field(
+                {static_cast<const char*>(unparsed.data()), unparsed.size()}))
+        {
+            this->fail(send_result::broken, "answer: folded field");
+            return;
+        }
         const auto used = this->parser->put(this->buffer.data(), error);
         this->buffer.consume(used);
         if (error || used == 0)
--- a/tests/relay/test_replica_answers.cpp
+++ b/tests/relay/test_replica_answers.cpp
@@ -356,6 +356,88 @@
     }
 }
 
+// Guards against: a caller gets a line that is no header field, or a body that
+// another recipient would delimit differently.
+BOOST_AUTO_TEST_CASE(a_field_name_that_is_none_makes_no_answer)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string field = "X-Server-Stamp: s\r\n";
+    const std::string length = "Content-Length: 3\r\n";
+    for (const std::string& line : {std::string("X Y: 1"),
+                                    std::string("X-Y : 1"),
+                                    std::string("X-Y\t: 1"),
+                                    std::string(" X-Y: 1"),
+                                    std::string("\tX-Y: 1"),
+                                    std::string(" Content-Length: 1"),
+                                    std::string("Content-Length : 1"),
+                                    std::string("Content Length: 1"),
+                                    std::string("Transfer-Encoding : chunked"),
+                                    std::string(" Transfer-Encoding: chunked"),
+                                    std::string("X\x01Y: 1"),
+                                    std::string("X\x1bY: 1"),
+                                    std::string("X\x7fY: 1"),
+                                    std::string("X\0Y: 1", 6),
+                                    std::string("X\rY: 1"),
+                                    std::string("X\nY: 1"),
+                                    std::string("X\xff: 1"),
+                                    std::string("X(Y: 1"),
+                                    std::string(": 1"),
+                                    std::string("X-Y")})
+    {
+        const auto odd = line + "\r\n";
+        const auto chunked =
+            status + field +
+            "Transfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n";
+        for (const auto& text : {status + odd + field + length + "\r\nold",
+                                 status + field + odd + length + "\r\nold",
+                                 status + field + length + odd + "\r\nold",
+                                 chunked + odd + "\r\n"})
+        {
+            // In one piece, and with a cut before each byte of the line.
+            const auto begin = text.find(odd);
+            for (std::size_t cut = 0; cut < odd.size(); ++cut)
+            {
+                std::vector<std::string> pieces{text};
+                if (cut > 0)
+                {
+                    pieces = {text.substr(0, begin + cut - 1),
+                              text.substr(begin + cut - 1)};
+                }
+                exchange replica(
+                    [&](std::size_t)
+                    {
+                        return scripted_server::reply{
+                            pieces, "", scripted_server::reply::ending::closed};
+                    });
+                const auto outcome = replica.send("id-1");
+                BOOST_TEST((outcome.result == send_result::broken), text);
+                BOOST_TEST(replica.is_closed);
+            }
+        }
+    }
+}
+
+// Guards against: a body that begins with a blank is taken for a folded field,
+// wherever the answer is cut.
+BOOST_AUTO_TEST_CASE(a_body_may_begin_with_a_blank)
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+                             "X-Request-Id: id-1\r\nContent-Length: 10\r\n"
+                             "\r\n a\r\n b\r\n\tc";
+    for (std::size_t cut = 1; cut < text.size(); ++cut)
+    {
+        exchange replica(
+            [&](std::size_t)
+            {
+                return scripted_server::reply{
+                    {text.substr(0, cut), text.substr(cut)}, ""};
+            });
+        const auto outcome = replica.send("id-1");
+        BOOST_TEST((outcome.result == send_result::answered), cut);
+        BOOST_TEST(outcome.answer.body == " a\r\n b\r\n\tc");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(bytes_without_end)
