HTTP client: limit bytes that complete no line of a chunked body

What callers saw: a node that read from a target, the store or another node in trouble kept all bytes of a chunk's extension or of a trailer that never ended, until the call timed out.

Cause: the limits of the parser are on the header and on the body.

Change: the buffer holds at most 64 KiB. The parser takes body bytes out of it as they come, so usual responses of any size are not concerned; a line that does not fit ends the call as target_lost and the connection with it.

Test: each_kind_ends_as_lost has all places of a response now. It failed before for the chunk's extension and the trailer, which went on until the timeout, and passes now.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -29,6 +29,10 @@
 /// it.
 constexpr std::uint64_t max_response_size = 8U << 20U;
 
+/// Limit on received bytes that do not complete a header or a chunk's line, and
+/// on those read at once.
+constexpr std::size_t max_unparsed_size = 64U << 10U;
+
 /// Limit on interim responses and responses to earlier requests that precede
 /// the response to a request.
 constexpr std::size_t max_skipped_responses = 8;
@@ -271,7 +275,7 @@
     boost::asio::io_context& io;
     std::string address;
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_size};
     bhttp::request<bhttp::string_body> outgoing;
     std::optional<bhttp::response_parser<bhttp::string_body>> parser;
     handler done;
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -179,9 +179,18 @@
 BOOST_AUTO_TEST_CASE(each_kind_ends_as_lost)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(65536, 'x');
     for (const auto& kind : std::vector<std::pair<std::string, std::string>>{
+             {"HTTP/1.1 200 ", filler},
+             {head + "X-Long: ", filler},
              {head, "X-More: 1\r\n"},
-             {head + "\r\n", std::string(65536, 'x')},
+             {head + "\r\n", filler},
+             {head + "Content-Length: 99999999999999\r\n\r\n", filler},
+             {chunked, "10000\r\n" + filler + "\r\n"},
+             {chunked + "2;", filler},
+             {chunked + "0\r\nX-Trailer: ", filler},
+             {"", filler},
              {"", "HTTP/1.1 100 Continue\r\n\r\n"},
              {"", answer_text("id-0", "old")}})
     {
