Targets: limit the replies that are being received together

What callers saw: with 60 requests at targets that sent bytes without end, a node grew by 490 MiB (the test on the code before), as each response may have 8 MiB by itself. Their number is only bounded by the requests.

Cause: the client limited each response, and nothing limited their sum.

Change: a connection may get an answer_memory, as connections to replicas of the users' platform have. Those to targets share one of 64 MiB. What a response allocates is reserved while it is received; small ones (16 KiB) need no reservation, so usual replies arrive meanwhile. A response that gets no memory ends as target_lost.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -69,8 +69,10 @@
       public std::enable_shared_from_this<beast_connection>
 {
   public:
-    beast_connection(boost::asio::io_context& io, const std::string& address)
-        : io(io), address(address), stream(io)
+    beast_connection(boost::asio::io_context& io,
+                     const std::string& address,
+                     std::shared_ptr<core::relay::answer_memory> memory)
+        : io(io), address(address), stream(io), memory(std::move(memory))
     {
     }
 
@@ -182,15 +184,22 @@
     void read()
     {
         this->parser.emplace();
+        this->parser->eager(true);
         this->parser->body_limit(max_response_size);
-        bhttp::async_read(this->stream,
-                          this->buffer,
-                          *this->parser,
-                          [self = this->shared_from_this()](
-                              const beast::error_code& error, std::size_t)
-                          {
-                              self->on_read(error);
-                          });
+        this->reservation.emplace(this->memory);
+        this->read_some();
+    }
+
+    void read_some()
+    {
+        bhttp::async_read_some(this->stream,
+                               this->buffer,
+                               *this->parser,
+                               [self = this->shared_from_this()](
+                                   const beast::error_code& error, std::size_t)
+                               {
+                                   self->on_read(error);
+                               });
     }
 
     void on_read(const beast::error_code& error)
@@ -198,8 +207,24 @@
         if (error)
         {
             this->on_io_error(error);
-            return;
         }
+        else if (!this->reservation->try_grow(
+                     this->parser->get().body().capacity()))
+        {
+            this->fail_response("no memory for the response");
+        }
+        else if (this->parser->is_done())
+        {
+            this->on_response();
+        }
+        else
+        {
+            this->read_some();
+        }
+    }
+
+    void on_response()
+    {
         auto incoming = this->parser->release();
         if (!is_status(incoming.result_int()))
         {
@@ -276,6 +301,9 @@
     std::string address;
     beast::tcp_stream stream;
     beast::flat_buffer buffer{max_unparsed_size};
+    std::shared_ptr<core::relay::answer_memory> memory;
+    /// For the response that is being received.
+    std::optional<core::relay::answer_reservation> reservation;
     bhttp::request<bhttp::string_body> outgoing;
     std::optional<bhttp::response_parser<bhttp::string_body>> parser;
     handler done;
@@ -288,10 +316,18 @@
 
 } // namespace
 
-std::shared_ptr<connection> connection::create(boost::asio::io_context& io,
-                                               const std::string& address)
+std::shared_ptr<connection>
+connection::create(boost::asio::io_context& io,
+                   const std::string& address,
+                   std::shared_ptr<core::relay::answer_memory> memory)
 {
-    return std::make_shared<beast_connection>(io, address);
+    if (memory == nullptr)
+    {
+        // A string may allocate twice of what it holds.
+        memory =
+            std::make_shared<core::relay::answer_memory>(2 * max_response_size);
+    }
+    return std::make_shared<beast_connection>(io, address, std::move(memory));
 }
 
 core::base::result<response> fetch(const std::string& address,
--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -11,6 +11,7 @@
 
 #include <adapters/http/message.hpp>
 #include <core/base/result.hpp>
+#include <core/relay/answer_memory.hpp>
 
 namespace hawthornrelay::adapters::http
 {
@@ -27,9 +28,13 @@
     /// @brief Creates a connection; the first request opens it.
     /// @param io the context to run on
     /// @param address `ip:port` of the server
+    /// @param memory limits the responses of several connections together while
+    ///        they are received; nullptr to limit each by itself only
     /// @return the connection
-    static std::shared_ptr<connection> create(boost::asio::io_context& io,
-                                              const std::string& address);
+    static std::shared_ptr<connection>
+    create(boost::asio::io_context& io,
+           const std::string& address,
+           std::shared_ptr<core::relay::answer_memory> memory = nullptr);
 
     connection() = default;
     connection(const connection&) = delete;
--- a/src/adapters/target/http_targets.cpp
+++ b/src/adapters/target/http_targets.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::chrono::milliseconds cancel_timeout{500};
 
+/// Limit in bytes on all replies that are being received. A target in trouble
+/// may send bytes without end, to many requests at the same time.
+constexpr std::size_t reply_memory = 64U << 20U;
+
 std::uint64_t parse_header_number(const http::header_map& headers,
                                   std::string_view name)
 {
@@ -78,6 +82,7 @@
 
 http_targets::http_targets(boost::asio::io_context& io, ports::runtime& runtime)
     : io(io), runtime(runtime),
+      memory(std::make_shared<core::relay::answer_memory>(reply_memory)),
       request_id_prefix(std::to_string(crypto::random_number()))
 {
 }
@@ -98,7 +103,8 @@
     }
     if (connection == nullptr)
     {
-        connection = http::connection::create(this->io, request.address);
+        connection =
+            http::connection::create(this->io, request.address, this->memory);
     }
     const auto time_left =
         core::base::remaining(request.deadline, this->runtime.now());
--- a/src/adapters/target/http_targets.hpp
+++ b/src/adapters/target/http_targets.hpp
@@ -56,6 +56,7 @@
 
     boost::asio::io_context& io;
     ports::runtime& runtime;
+    std::shared_ptr<core::relay::answer_memory> memory; ///< of all replies
     std::map<std::string, pool> pools;
     std::map<std::uint64_t, std::string> in_flight; ///< id to address
     std::string request_id_prefix; ///< random; separates processes
--- a/tests/relay/test_replica_answers.cpp
+++ b/tests/relay/test_replica_answers.cpp
@@ -5,7 +5,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
-#include <fstream>
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,6 +13,7 @@
 #include <boost/asio.hpp>
 
 #include <adapters/relay/replica_connection.hpp>
+#include <support/resident_memory.hpp>
 #include <support/scripted_server.hpp>
 
 using namespace hawthornrelay;
@@ -21,6 +21,7 @@
 using adapters::relay::replica_connection;
 using core::relay::send_result;
 using tests::support::answer_text;
+using tests::support::resident_bytes;
 using tests::support::scripted_server;
 
 namespace
@@ -102,15 +103,6 @@
     return replica.send("id-1", 3s);
 }
 
-std::size_t resident_bytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return resident * 4096;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(duplicates)
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -2,15 +2,20 @@
 #define BOOST_TEST_MODULE http_client
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <string>
 
+#include <adapters/asio/asio_runtime.hpp>
 #include <adapters/http/client.hpp>
+#include <adapters/target/http_targets.hpp>
+#include <support/resident_memory.hpp>
 #include <support/scripted_server.hpp>
 
 using namespace hawthornrelay;
 using namespace std::chrono_literals;
 using core::base::result_code;
 using tests::support::answer_text;
+using tests::support::resident_bytes;
 using tests::support::scripted_server;
 
 namespace
@@ -206,6 +211,47 @@
     }
 }
 
+// Guards against: targets that stream to many requests at the same time use up
+// the memory of the process, although each response is limited.
+BOOST_AUTO_TEST_CASE(many_streams_of_targets_leave_memory)
+{
+    constexpr std::size_t requests = 60;
+    boost::asio::io_context io;
+    scripted_server endless(io,
+                            [](std::size_t)
+                            {
+                                return scripted_server::reply{
+                                    {"HTTP/1.1 200 OK\r\n\r\n"},
+                                    std::string(65536, 'x')};
+                            });
+    adapters::asio::asio_runtime runtime(io);
+    adapters::target::http_targets targets(io, runtime);
+    std::size_t lost = 0;
+    for (std::size_t id = 1; id <= requests; ++id)
+    {
+        ports::target_request request;
+        request.id = id;
+        request.address =
+            "127.0.0.1:" + std::to_string(endless.endpoint().port());
+        request.deadline = runtime.now() + 3s;
+        targets.send(request,
+                     [&](const ports::target_reply& reply)
+                     {
+                         lost += reply.code == result_code::target_lost;
+                     });
+    }
+    const auto before = resident_bytes();
+    auto peak = before;
+    for (int i = 0; i < 400 && lost < requests; ++i)
+    {
+        io.run_for(10ms);
+        peak = std::max(peak, resident_bytes());
+    }
+    BOOST_TEST_MESSAGE("peak growth " << (peak - before) / 1024 << " KB");
+    BOOST_TEST(lost == requests);
+    BOOST_TEST((peak - before) < (96U << 20U));
+}
+
 // Guards against: a server stops within the head of its answer and closes, and
 // what has arrived is delivered as a success.
 BOOST_AUTO_TEST_CASE(no_cut_within_the_head_leaves_an_answer)
