Roll-outs: replace a stored status that cannot be decoded

What operators saw: a roll-out whose status key has a value of another writer never leaves its first stage; the log has one revision_conflict every 0.4 s.

Cause: a status is stored under the condition that the key has the revision of the status that is known. An unreadable value was logged and its revision forgotten, so the condition never held.

Change: the manager keeps the revision of such a value until the key is decoded or removed, and the next status is stored on condition of it.

Test: an_unreadable_status_is_replaced failed before (28 conflicts, the state stays open) and passes now: the roll-out is completed.

--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -240,6 +240,7 @@
                             item,
                             {"key", item.key},
                             status.error());
+        this->rollouts->on_unreadable_status(service, item.revision);
         return;
     }
     status->revision = item.revision;
--- a/src/core/relay/rollout_manager.cpp
+++ b/src/core/relay/rollout_manager.cpp
@@ -172,6 +172,7 @@
                                 std::optional<rollout_status> status,
                                 bool is_restored)
 {
+    this->unreadable_statuses.erase(service);
     if (!status && !this->rollouts.contains(service))
     {
         return;
@@ -205,6 +206,12 @@
     }
 }
 
+void rollout_manager::on_unreadable_status(const std::string& service,
+                                           std::uint64_t revision)
+{
+    this->unreadable_statuses[service] = revision;
+}
+
 void rollout_manager::set_status(rollout& item,
                                  std::optional<rollout_status> status)
 {
@@ -577,6 +584,11 @@
                 this->versions_besides(service, status.target_version);
         }
     }
+    if (const auto unreadable = this->unreadable_statuses.find(service);
+        unreadable != this->unreadable_statuses.end())
+    {
+        known_revision = std::max(known_revision, unreadable->second);
+    }
     status.state = state;
     item.is_writing = true;
     const auto key = this->format.status_prefix + service;
--- a/src/core/relay/rollout_manager.hpp
+++ b/src/core/relay/rollout_manager.hpp
@@ -73,6 +73,13 @@
                    std::optional<rollout_status> status,
                    bool is_restored);
 
+    /// @brief Applies a stored status that cannot be decoded. What was known
+    ///        stays in force, and the next status replaces the item.
+    /// @param service the service
+    /// @param revision the item's revision
+    void on_unreadable_status(const std::string& service,
+                              std::uint64_t revision);
+
     /// @brief Applies a change of the decider's key.
     /// @param name the decider, empty if there is none
     void on_decider(const std::string& name);
@@ -164,6 +171,8 @@
     std::size_t rank = 0;
     std::set<std::string> other_entries;
     std::map<std::string, rollout, std::less<>> rollouts;
+    /// Revisions of stored statuses that cannot be decoded, by service.
+    std::map<std::string, std::uint64_t> unreadable_statuses;
     std::string known_decider;
     base::time_point vacant_since{}; ///< no decider since
     bool is_calling = false;         ///< for the lease or the decider's key
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1229,6 +1229,9 @@
 namespace
 {
 
+/// A value of another writer under the key of a status.
+constexpr std::string_view unreadable_status = "?";
+
 /// Runs an order to move to v2 at two nodes, with a request every 3 ms, and
 /// returns the last state in the store.
 std::string run_rollout(relay_cluster& cluster, bool is_failing)
@@ -1246,7 +1249,7 @@
         cluster.send_query("/one/x", static_cast<std::size_t>(i) % 2);
         cluster.run_for(3ms);
         const auto stored = cluster.store.value_of("status/rollout/s");
-        if (!stored.empty())
+        if (!stored.empty() && stored != unreadable_status)
         {
             const auto status = json::parse(stored).as_object();
             BOOST_TEST(status.at("targetVersion").as_string() == "v2");
@@ -1310,4 +1313,13 @@
     BOOST_TEST(cluster.arrivals_by_version.at("v2") == before.at("v2"));
 }
 
+// Guards against: the status of a roll-out is never stored, since its key has a
+// value of another writer that cannot be decoded.
+BOOST_AUTO_TEST_CASE(an_unreadable_status_is_replaced)
+{
+    relay_cluster cluster(2);
+    cluster.store.write("status/rollout/s", std::string(unreadable_status));
+    BOOST_TEST(run_rollout(cluster, false) == "completed");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
