Roll-outs: a decider's key without a lease names no decider

What operators saw: no roll-out begins while a value of another writer stands under rollout/decider.

Cause: a node takes over only if the key does not exist. Nodes bind it to a lease, so it ends with its holder; a value without a lease stays for ever.

Change: the lease of an item is read from listings and watches and passed on between nodes (a new optional field, unknown to earlier versions, which ignore it). A key that is known to have none counts as vacant, and the node that takes over replaces it on condition of its revision. A key with a lease, or from a node that does not say, is respected as before.

Tests: a_decider_that_is_no_node_is_replaced failed before for a key that stands before the nodes start (state open instead of completed) and passes now, also for one written later; a_key_without_a_lease_is_told_apart.

--- a/src/adapters/relay/peer_feed.cpp
+++ b/src/adapters/relay/peer_feed.cpp
@@ -104,7 +104,8 @@
                                                  value,
                                                  item.revision,
                                                  item.is_removed,
-                                                 item.may_have_lapsed));
+                                                 item.may_have_lapsed,
+                                                 item.is_unleased));
     }
     const auto era =
         page.era ? flatbuffers::Optional<std::uint64_t>(*page.era)
@@ -159,7 +160,9 @@
                                   item->value()->str(),
                                   item->revision(),
                                   item->removed(),
-                                  item->may_have_lapsed()});
+                                  item->may_have_lapsed(),
+                                  false,
+                                  item->unleased()});
         }
     }
     return page;
--- a/src/adapters/relay/store_change_handler.cpp
+++ b/src/adapters/relay/store_change_handler.cpp
@@ -185,8 +185,11 @@
 {
     if (item.key == names::rollout_decider_key)
     {
-        this->rollouts->on_decider(item.is_removed ? std::string()
-                                                   : item.value);
+        // Nodes bind this key to a lease; any other value names no decider.
+        const bool is_foreign = !item.is_removed && item.is_unleased;
+        this->rollouts->on_decider(item.is_removed || is_foreign ? std::string()
+                                                                 : item.value,
+                                   is_foreign ? item.revision : 0);
     }
     else if (const auto ordered =
                  strip_prefix(item.key, names::rollout_order_prefix))
--- a/src/core/relay/rollout_manager.cpp
+++ b/src/core/relay/rollout_manager.cpp
@@ -239,8 +239,10 @@
                         });
 }
 
-void rollout_manager::on_decider(const std::string& name)
+void rollout_manager::on_decider(const std::string& name,
+                                 std::uint64_t revision)
 {
+    this->vacant_revision = revision;
     if (name.empty() || this->known_decider.empty())
     {
         this->vacant_since = this->runtime.now();
@@ -387,7 +389,7 @@
 void rollout_manager::take_decision(ports::lease_id created)
 {
     this->store.transact(
-        {{{this->format.decider_key, 0}},
+        {{{this->format.decider_key, this->vacant_revision}},
          {{this->format.decider_key, this->node_name, created}},
          {}},
         [this, created](const base::result<std::uint64_t>& written)
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -30,6 +30,8 @@
     /// The listing of a store that was restored from a copy contradicts what
     /// was known of the key before, which may be newer.
     bool is_restored = false;
+    /// The key is bound to no lease; false if that is unknown.
+    bool is_unleased = false;
 };
 
 /// @brief Rises by one whenever the store is restored from a copy, after which
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1313,6 +1313,24 @@
     BOOST_TEST(cluster.arrivals_by_version.at("v2") == before.at("v2"));
 }
 
+// Guards against: nobody decides on roll-outs, since the key for that has a
+// value of another writer, which no lease ever removes.
+BOOST_AUTO_TEST_CASE(a_decider_that_is_no_node_is_replaced)
+{
+    for (const bool is_early : {true, false})
+    {
+        relay_cluster cluster(is_early ? 0 : 2);
+        cluster.store.write("rollout/decider", "odd");
+        if (is_early)
+        {
+            cluster.add_node("node-0");
+            cluster.add_node("node-1");
+            cluster.run_for(600ms);
+        }
+        BOOST_TEST(run_rollout(cluster, false) == "completed");
+    }
+}
+
 // Guards against: the status of a roll-out is never stored, since its key has a
 // value of another writer that cannot be decoded.
 BOOST_AUTO_TEST_CASE(an_unreadable_status_is_replaced)
--- a/tests/relay/test_store_client.cpp
+++ b/tests/relay/test_store_client.cpp
@@ -237,6 +237,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_key_without_a_lease_is_told_apart)
+{
+    store_reader reader;
+    reader.store.write("a", "{}", 7);
+    reader.store.write("b", "{}");
+    reader.store.write_as("c", {{"key", "c"}, {"revision", 4}, {"value", ""}});
+    for (const auto& page : {reader.list({}), reader.watch(1)})
+    {
+        BOOST_REQUIRE(page.has_value());
+        BOOST_REQUIRE(page->items.size() == 3U);
+        BOOST_TEST(!page->items[0].is_unleased);
+        BOOST_TEST(page->items[1].is_unleased);
+        BOOST_TEST(!page->items[2].is_unleased); // unknown
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(watches)
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -43,9 +43,11 @@
     }
 
     /// Writes a key, as an operator or a replica does.
-    void write(const std::string& key, const std::string& value)
+    void write(const std::string& key,
+               const std::string& value,
+               std::uint64_t lease = 0)
     {
-        this->items[key] = {value, ++this->revision, 0};
+        this->items[key] = {value, ++this->revision, lease};
         this->append_change(key, false);
     }
 
@@ -140,6 +142,7 @@
         std::uint64_t revision = 0;
         bool is_removed = false;
         std::string value;
+        std::uint64_t lease = 0;
     };
 
     struct watcher
@@ -221,7 +224,7 @@
         {
             result["value"] = absl::Base64Escape(item.value);
             result["createdRevision"] = item.revision;
-            result["leaseId"] = 0;
+            result["leaseId"] = item.lease;
         }
         return result;
     }
@@ -231,7 +234,8 @@
         this->history.push_back({key,
                                  this->revision,
                                  is_removed,
-                                 is_removed ? "" : this->items[key].value});
+                                 is_removed ? "" : this->items[key].value,
+                                 is_removed ? 0 : this->items[key].lease});
         if (this->is_silent)
         {
             return;
@@ -322,8 +326,8 @@
             const auto& [key, item] = *next;
             if (key.starts_with(prefix))
             {
-                page.push_back(
-                    to_event({key, item.revision, false, item.value}));
+                page.push_back(to_event(
+                    {key, item.revision, false, item.value, item.lease}));
             }
         }
         answer(respond,
@@ -390,8 +394,7 @@
             absl::Base64Unescape(std::string(row.at("value").as_string()),
                                  &value);
             const std::string key(row.at("key").as_string());
-            this->write(key, value);
-            this->items[key].lease = lease;
+            this->write(key, value, lease);
         }
         if (this->answers_to_lose > 0)
         {
