Platform client: leave out entries that cannot be read, not their delta

What callers saw: on the own interface, while one entry of the key-value service had another type or lacked a field, no node followed any change, and nodes that started did not serve.

Cause: the same as in the client of the users' store: an answer was read as a whole, so one entry failed the call, and the call was repeated.

Change: each entry is read by itself. One that cannot be read keeps the last valid value in force and is logged as config_rejected (302) with its key. Keys need not be UTF-8. Odd names among lost VMs are left out.

--- a/src/adapters/platform/http_platform.cpp
+++ b/src/adapters/platform/http_platform.cpp
@@ -22,8 +22,11 @@
 
 result<json::value> parse_object(const http::response& answer)
 {
+    json::parse_options options;
+    // Keys of other writers are not always text.
+    options.allow_invalid_utf8 = true;
     json::error_code error;
-    auto parsed = json::parse(answer.body, error);
+    auto parsed = json::parse(answer.body, error, {}, options);
     if (error || !parsed.is_object())
     {
         return fail(result_code::platform_bad_answer, "not a JSON object");
@@ -60,16 +63,49 @@
     }
 }
 
+std::string read_text(const json::value* from)
+{
+    return from != nullptr && from->is_string()
+               ? std::string(from->get_string())
+               : std::string();
+}
+
+/// Adds an entry to a delta, or its key to those that could not be read.
+void add_entry(const json::value& entry, core::config::delta& to)
+{
+    const auto* fields = entry.if_object();
+    const auto find = [fields](std::string_view name)
+    {
+        return fields == nullptr ? nullptr : fields->if_contains(name);
+    };
+    const auto* value = find("value");
+    const auto* modified = find("revision");
+    core::config::item item{read_text(find("key")), read_text(value)};
+    json::error_code error;
+    if (modified != nullptr)
+    {
+        item.modified = modified->to_number<revision>(error);
+    }
+    const bool is_readable = !item.key.empty() && value != nullptr &&
+                             value->is_string() && modified != nullptr &&
+                             !error;
+    if (is_readable)
+    {
+        to.items.push_back(std::move(item));
+    }
+    else
+    {
+        to.unreadable.push_back(std::move(item.key));
+    }
+}
+
 core::config::delta read_delta(const json::object& body, revision since)
 {
     core::config::delta delta{
         since, body.at("revision").to_number<revision>(), {}};
-    for (const auto& item : body.at("entries").as_array())
+    for (const auto& entry : body.at("entries").as_array())
     {
-        const auto& fields = item.as_object();
-        delta.items.push_back({std::string(fields.at("key").as_string()),
-                               std::string(fields.at("value").as_string()),
-                               fields.at("revision").to_number<revision>()});
+        add_entry(entry, delta);
     }
     return delta;
 }
@@ -191,8 +227,9 @@
                                   for (const auto& name :
                                        body.at("gone").as_array())
                                   {
-                                      gone.emplace(name.as_string());
+                                      gone.insert(read_text(&name));
                                   }
+                                  gone.erase(std::string());
                                   return gone;
                               }));
         });
--- a/src/core/config/store.hpp
+++ b/src/core/config/store.hpp
@@ -27,6 +27,9 @@
     base::revision from = 0; ///< exclusive
     base::revision to = 0;   ///< inclusive
     std::vector<item> items;
+    /// Keys of changes that could not be read and were left out; empty texts
+    /// for those without a key.
+    std::vector<std::string> unreadable{};
 };
 
 /// @brief Keeps the newest known value of each key.
--- a/src/core/control/control_plane.cpp
+++ b/src/core/control/control_plane.cpp
@@ -313,6 +313,12 @@
                             {{"from", std::to_string(change.from)},
                              {"to", std::to_string(change.to)},
                              {"keys", std::to_string(change.items.size())}});
+    for (const auto& key : change.unreadable)
+    {
+        this->context.log.write(
+            log_event::config_rejected,
+            {{"key", key}, {"error", "no key, no revision or no text"}});
+    }
     for (const auto& item : change.items)
     {
         const auto rejected = this->config_store.rejected().find(item.key);
