Tests: restarts and the soak beside odd entries of the store

nodes_list_the_store_past_odd_names starts all nodes twice while the entries stand. The soak has entries of another writer from the start: names with reserved characters and a byte that is no UTF-8, and two items that cannot be read, in a listing of several pages.

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -930,7 +930,7 @@
     {
         cluster.send_query(target, node);
     }
-    cluster.io.run_for(200ms);
+    cluster.run_for(200ms);
     BOOST_TEST(cluster.count(200) == before + cluster.settings.size());
 }
 
@@ -1035,10 +1035,24 @@
         {
             cluster.store.write("servers/" + std::string(name), "{}");
         }
-        cluster.add_node("node-0");
-        cluster.add_node("node-1");
-        cluster.io.run_for(1200ms);
-        check_served_by_all(cluster, "/one/x");
+        for (const auto* name : {"node-0", "node-1"})
+        {
+            cluster.settings.push_back(cluster.make_settings(name));
+        }
+        std::vector<std::unique_ptr<adapters::relay::relay_node>> nodes;
+        for (int start = 0; start < 2; ++start)
+        {
+            nodes.clear();
+            cluster.restartable_io =
+                std::make_unique<boost::asio::io_context>();
+            for (const auto& settings : cluster.settings)
+            {
+                nodes.push_back(relay_cluster::start_node(
+                    *cluster.restartable_io, settings));
+            }
+            cluster.run_for(1200ms);
+            check_served_by_all(cluster, "/one/x");
+        }
     }
 }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -64,6 +64,7 @@
             this->check_arrival(target);
         };
         this->add_back_ends();
+        this->write_odd_entries();
         this->write_configuration();
         this->add_nodes();
         this->add_callers();
@@ -180,6 +181,19 @@
                 {"maxAttempts", 2}};
     }
 
+    /// Writes entries of another writer, which stay. Some of them end a page of
+    /// the listing.
+    void write_odd_entries()
+    {
+        this->store.page_size = 5;
+        for (const auto* name : {"&", "+", "#", "%", " ", "%41", "d&e", "\xff"})
+        {
+            this->store.write("servers/" + std::string(name), "{}");
+        }
+        this->store.write_as("servers/b", json::object{{"key", "servers/b"}});
+        this->store.write_as("servers/c", 7);
+    }
+
     /// Writes the next version. Each version has a probe route of its own,
     /// which replaces that of the previous version.
     void write_configuration()
