Tests: an odd entry names no replica, and the others hold

Held already, shown for 9 values (fields missing or of another type, a state or service that is not known, no document) under 7 odd names each.

--- a/tests/relay/test_store_changes.cpp
+++ b/tests/relay/test_store_changes.cpp
@@ -263,6 +263,40 @@
 
 BOOST_AUTO_TEST_SUITE(entries_of_other_writers)
 
+// Guards against: an entry of another writer names a replica, or hides others.
+BOOST_AUTO_TEST_CASE(an_odd_entry_names_no_replica_and_the_others_hold)
+{
+    const auto usual = replica_value(1);
+    const auto with = [&](const std::string& from, const std::string& to)
+    {
+        auto changed = usual;
+        return changed.replace(changed.find(from), from.size(), to);
+    };
+    changed_node node;
+    node.write("servers/r", usual);
+    for (const auto& value : {std::string(),
+                              std::string("\xff\xfe"),
+                              std::string("{}"),
+                              with(R"("zone")", R"("region")"),
+                              with(R"("here")", "7"),
+                              with(R"("ready")", R"("resting")"),
+                              with(R"("added")", R"("nobody")"),
+                              with(R"(:7})", R"(:7.5})"),
+                              with(R"(:7})", R"(:"7"})")})
+    {
+        for (const auto* name :
+             {"a&b", "a+b", "a#b", "a%b", "a b", "%41", "\xff"})
+        {
+            const auto key = "servers/" + std::string(name);
+            node.write(key, value);
+            BOOST_TEST(node.usable("added") == 1U, value);
+            BOOST_TEST(node.usable("book") == 2U, value);
+            node.remove(key);
+            BOOST_TEST(node.usable("added") == 1U, value);
+        }
+    }
+}
+
 // Guards against: callers are sent to what an odd registration names as the
 // address of a node.
 BOOST_AUTO_TEST_CASE(odd_node_registrations_name_no_node)
