Decoding: errors name the field

What operators saw: "out of range" or "not a string" for an entry of another writer, whatever was wrong with it.

Test: an_error_names_the_field.

--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -129,6 +129,23 @@
     BOOST_TEST(!platform::decode_replica("", registration("", "")));
 }
 
+// Guards against: the log of an odd entry does not tell what is wrong with it.
+BOOST_AUTO_TEST_CASE(an_error_names_the_field)
+{
+    const auto error_of = [](const std::string& text)
+    {
+        return platform::decode_replica("r", text).error().detail;
+    };
+    BOOST_TEST(error_of("{}") == "service is missing");
+    BOOST_TEST(error_of(registration("zone", "7")) == "zone is not a text");
+    BOOST_TEST(error_of(registration("capacity", R"("2")")) ==
+               "capacity is not a whole number");
+    BOOST_TEST(error_of(registration("sequence", "-1")) ==
+               "sequence is not a whole number");
+    BOOST_TEST(error_of(registration("warmupRemainingMs", "true")) ==
+               "warmupRemainingMs is not a number");
+}
+
 // Guards against: the name of an entry adds header fields or a request to what
 // is sent to its replica, or reaches the replica changed.
 BOOST_AUTO_TEST_CASE(an_id_that_no_header_field_can_hold_is_refused)
