--- a/tests/relay/test_store_changes.cpp
+++ b/tests/relay/test_store_changes.cpp
@@ -297,6 +297,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_zone_may_have_any_name)
+{
+    changed_node node;
+    for (const std::string zone : {"a&b", "a b", "%41", "a/b", "é"})
+    {
+        auto value = replica_value(1);
+        node.write("servers/r", value.replace(value.find("here"), 4, zone));
+        BOOST_TEST(node.usable("added") == 1U, zone);
+        node.write("op/evacuate/" + zone, "?");
+        BOOST_TEST(node.usable("added") == 0U, zone);
+        node.remove("op/evacuate/" + zone);
+        BOOST_TEST(node.usable("added") == 1U, zone);
+    }
+}
+
 // Guards against: callers are sent to what an odd registration names as the
 // address of a node.
 BOOST_AUTO_TEST_CASE(odd_node_registrations_name_no_node)
--- a/tests/unit/test_platform_decode.cpp
+++ b/tests/unit/test_platform_decode.cpp
@@ -188,6 +188,40 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(rollouts)
+
+// Guards against: an odd order or status takes effect, or ends the process.
+BOOST_AUTO_TEST_CASE(odd_orders_and_statuses_are_refused)
+{
+    BOOST_TEST(platform::decode_rollout_order(
+                   "s", R"({"service":"s","targetVersion":"v","durationS":9})")
+                   .has_value());
+    BOOST_TEST(platform::decode_rollout_status(
+                   R"({"state":"running","targetVersion":"v"})")
+                   .has_value());
+    for (const std::string text :
+         {"",
+          "?",
+          "[]",
+          "\xff",
+          "{}",
+          R"({"service":"t","targetVersion":"v","durationS":9})",
+          R"({"service":"s","targetVersion":"","durationS":9})",
+          R"({"service":"s","targetVersion":"v","durationS":0})",
+          R"({"service":"s","targetVersion":"v","durationS":-1})",
+          R"({"service":"s","targetVersion":7,"durationS":9})",
+          R"({"state":"odd","targetVersion":"v"})",
+          R"({"state":"running"})",
+          R"({"state":"running","targetVersion":"v","order":-1})",
+          R"({"state":"running","targetVersion":"v","baseVersions":[7]})"})
+    {
+        BOOST_TEST(!platform::decode_rollout_order("s", text), text);
+        BOOST_TEST(!platform::decode_rollout_status(text), text);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(answers)
 
 // Guards against: numbers in a replica's answer that no time or rate can hold.
