--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -291,6 +291,7 @@
 
     void finish(core::base::result<response> outcome)
     {
+        this->reservation.reset();
         if (const auto handler = std::exchange(this->done, nullptr))
         {
             handler(std::move(outcome));
--- a/tests/unit/test_http_client.cpp
+++ b/tests/unit/test_http_client.cpp
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include <adapters/asio/asio_runtime.hpp>
 #include <adapters/http/client.hpp>
@@ -24,10 +26,14 @@
 /// A connection to a scripted server.
 struct client
 {
-    explicit client(scripted_server::script script)
+    explicit client(
+        scripted_server::script script,
+        std::shared_ptr<core::relay::answer_memory> memory = nullptr)
         : server(io, std::move(script)),
           connection(adapters::http::connection::create(
-              io, "127.0.0.1:" + std::to_string(server.endpoint().port())))
+              io,
+              "127.0.0.1:" + std::to_string(server.endpoint().port()),
+              std::move(memory)))
     {
     }
 
@@ -252,6 +258,28 @@
     BOOST_TEST((peak - before) < (96U << 20U));
 }
 
+// Guards against: idle connections keep the memory of the replies that they
+// have received, so that later replies get none.
+BOOST_AUTO_TEST_CASE(memory_is_released_with_the_response)
+{
+    const auto memory = std::make_shared<core::relay::answer_memory>(1U << 20U);
+    const std::string body(700'000, 'r');
+    client caller(
+        [&](std::size_t request)
+        {
+            return only(answer_text("id-" + std::to_string(request), body));
+        },
+        memory);
+    for (const auto* id : {"id-1", "id-2"})
+    {
+        const auto answer = caller.send(id);
+        BOOST_TEST_REQUIRE(answer.has_value());
+        BOOST_TEST(answer->body.size() == body.size());
+        BOOST_TEST(memory->reserved() == 0U);
+    }
+    BOOST_TEST(caller.server.accepted == 1U);
+}
+
 // Guards against: a server stops within the head of its answer and closes, and
 // what has arrived is delivered as a success.
 BOOST_AUTO_TEST_CASE(no_cut_within_the_head_leaves_an_answer)
