--- a/src/adapters/http/message.hpp
+++ b/src/adapters/http/message.hpp
@@ -58,10 +58,10 @@
     return it == headers.end() ? std::string_view() : it->second;
 }
 
-/// @brief Tells whether a number is a status of HTTP (RFC 9110, section 15).
-/// The
-///        parser accepts any three digits.
+/// @brief Tells whether a number is a status of HTTP (RFC 9110, section 15);
+///        the parser accepts any three digits.
 /// @param number the number in a response's status line
+/// @return true from 100 to 599
 inline bool is_status(unsigned number)
 {
     constexpr unsigned first_status = 100;
--- a/src/adapters/platform/http_platform.cpp
+++ b/src/adapters/platform/http_platform.cpp
@@ -63,6 +63,7 @@
     }
 }
 
+/// Reads a text; empty if there is none.
 std::string read_text(const json::value* from)
 {
     return from != nullptr && from->is_string()
@@ -227,9 +228,11 @@
                                   for (const auto& name :
                                        body.at("gone").as_array())
                                   {
-                                      gone.insert(read_text(&name));
+                                      if (name.is_string())
+                                      {
+                                          gone.emplace(name.get_string());
+                                      }
                                   }
-                                  gone.erase(std::string());
                                   return gone;
                               }));
         });
--- a/src/adapters/relay/replica_connection.cpp
+++ b/src/adapters/relay/replica_connection.cpp
@@ -259,7 +259,8 @@
     boost::system::error_code error;
     while (this->buffer.size() > 0 && !this->parser->is_done())
     {
-        // The parser consumes no field before it has the byte after the line.
+        // The parser takes a field only together with the byte after its line,
+        // so a line that continues the field is still in the buffer here.
         const auto unparsed = this->buffer.cdata();
         if (!this->parser->is_header_done() &&
             has_folded_field(
--- a/src/core/relay/rollout_manager.hpp
+++ b/src/core/relay/rollout_manager.hpp
@@ -82,7 +82,8 @@
 
     /// @brief Applies a change of the decider's key.
     /// @param name the decider, empty if there is none
-    /// @param revision of a key that names no decider, 0 without one
+    /// @param revision the key's revision if it exists and names no decider,
+    ///        else 0
     void on_decider(const std::string& name, std::uint64_t revision = 0);
 
     /// @brief Applies the message of another node.
@@ -175,9 +176,10 @@
     /// Revisions of stored statuses that cannot be decoded, by service.
     std::map<std::string, std::uint64_t> unreadable_statuses;
     std::string known_decider;
-    std::uint64_t vacant_revision = 0; ///< of the key without a decider
-    base::time_point vacant_since{};   ///< no decider since
-    bool is_calling = false;           ///< for the lease or the decider's key
+    /// Revision of the decider's key if it names no decider; 0 without a key.
+    std::uint64_t vacant_revision = 0;
+    base::time_point vacant_since{}; ///< no decider since
+    bool is_calling = false;         ///< for the lease or the decider's key
     ports::lease_id lease = 0;
     std::uint64_t term = 0; ///< revision of the decider's key; 0: not decider
     base::time_point lease_sure_until{};
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -62,8 +62,8 @@
     /// Number of items that were left out since their key or revision could not
     /// be read.
     std::size_t unreadable = 0;
-    /// Key of the last item, whether left out or not; empty if it is that of
-    /// `items`.
+    /// Key of the last item, also if it was left out; empty if the last one of
+    /// `items` has it.
     std::string last_key{};
 
     /// @brief The key after which the next page of the listing begins; empty if
