Store follower: a connection that falls silent is no outage of the store

Cause: any failed call counted as an outage, in which registrations may lapse, so the replica's removal took effect 2 s later. The logs of the case: source_lost 3.40 s after the last watch, replica_lapsing at 3.71 s, replica_removed reason=lapsed at 5.80 s.

Now store_availability counts an outage only if the store refused a call or answered none on any connection for two heartbeat intervals, the least time in which a registration can lapse. Failures of a copy of another node never count. A call whose connection failed is repeated at once, so that the change is known 3.4 s after the silence, in a window of 4 s.

Failed before: test_relay_process a_replica_that_leaves_beside_a_silent_watch_* (9 of 20 answers from the replica that had left).

--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -85,6 +85,7 @@
             std::string(platform::names::node_prefix) + settings.node_name,
             write_node_registration(this->nodes.self()),
             settings.min_lease,
+            this->deps.availability,
             [this](bool is_reachable, const std::string& reason)
             {
                 this->on_store_status(is_reachable, reason);
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -39,6 +39,7 @@
         ports::event_log& log;
         const core::relay::store_mirror& mirror;
         core::relay::store_follower& follower;
+        core::relay::store_availability& availability;
         /// Whether this node can serve callers.
         std::function<bool()> is_ready;
         /// Whether most replicas of other zones are unreachable.
--- a/src/adapters/relay/peer_feed.cpp
+++ b/src/adapters/relay/peer_feed.cpp
@@ -305,7 +305,9 @@
         {
             if (!answer)
             {
-                done(fail(result_code::platform_unreachable,
+                done(fail(answer.error().code == result_code::connect_failed
+                              ? result_code::platform_unreachable
+                              : result_code::platform_connection_lost,
                           answer.error().detail));
             }
             else if (answer->status == status_gone)
--- a/src/adapters/relay/peer_feed.hpp
+++ b/src/adapters/relay/peer_feed.hpp
@@ -65,6 +65,11 @@
     /// @param address `ip:port` of the other node's feed
     peer_reader(boost::asio::io_context& io, std::string address);
 
+    [[nodiscard]] bool is_copy() const override
+    {
+        return true;
+    }
+
     void list(const std::string& after,
               ports::store_handler<ports::store_page> done) override;
     void watch(const ports::store_position& after,
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -152,9 +152,11 @@
                      this->on_item(item);
                  }),
           feed(this->runtime, this->mirror),
+          availability(this->settings.heartbeat_interval),
           follower(this->runtime,
                    this->log,
                    this->mirror,
+                   this->availability,
                    [this](bool is_reachable, const std::string& reason)
                    {
                        this->on_source_status(is_reachable, reason);
@@ -166,6 +168,7 @@
                .log = this->log,
                .mirror = this->mirror,
                .follower = this->follower,
+               .availability = this->availability,
                .is_ready =
                    [this]
                {
@@ -205,7 +208,6 @@
                .on_store_lost =
                    [this]
                {
-                   this->follower.record_outage();
                    this->engine.counters.add(relay_counter::store_failures);
                }},
               this->settings),
@@ -319,6 +321,7 @@
     core::relay::rollout_manager rollouts;
     core::relay::store_mirror mirror;
     peer_feed feed;
+    core::relay::store_availability availability;
     core::relay::store_follower follower;
     membership members;
     quota_exchange quotas;
--- a/src/core/base/result.cpp
+++ b/src/core/base/result.cpp
@@ -59,6 +59,8 @@
     code_name{result_code::platform_unreachable, "platform_unreachable"},
     code_name{result_code::platform_answer_lost, "platform_answer_lost"},
     code_name{result_code::platform_bad_answer, "platform_bad_answer"},
+    code_name{result_code::platform_connection_lost,
+              "platform_connection_lost"},
     code_name{result_code::frame_too_large, "frame_too_large"},
     code_name{result_code::frame_malformed, "frame_malformed"},
     code_name{result_code::link_unauthenticated, "link_unauthenticated"},
--- a/src/core/base/result.hpp
+++ b/src/core/base/result.hpp
@@ -68,6 +68,7 @@
     platform_unreachable = 701,
     platform_answer_lost = 702,
     platform_bad_answer = 703,
+    platform_connection_lost = 704,
 
     frame_too_large = 801,
     frame_malformed = 802,
--- a/src/core/relay/node_lease.cpp
+++ b/src/core/relay/node_lease.cpp
@@ -28,11 +28,12 @@
                        std::string key,
                        std::string value,
                        std::chrono::milliseconds min_lease,
+                       store_availability& availability,
                        reach_handler on_reach)
     : runtime(runtime), store(store), key(std::move(key)),
       value(std::move(value)),
       lease_duration(std::max(default_lease_duration, min_lease)),
-      on_reach(std::move(on_reach))
+      availability(availability), on_reach(std::move(on_reach))
 {
 }
 
@@ -138,6 +139,7 @@
 void node_lease::on_success(void (node_lease::*next)(), duration delay)
 {
     this->last_answer = this->runtime.now();
+    this->availability.on_answer(this->last_answer);
     if (!this->reachable)
     {
         this->reachable = true;
@@ -149,6 +151,7 @@
 void node_lease::on_failure(const base::error& error,
                             void (node_lease::*retry)())
 {
+    this->availability.on_failure(error, this->runtime.now());
     if (this->reachable)
     {
         this->reachable = false;
--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -13,7 +13,8 @@
 {
 
 /// Maximum wait of one watch. A dead connection is detected after this time
-/// plus the answer timeout.
+/// plus the answer timeout of 0.9 s, so that a change is known 3.4 s after its
+/// connection fell silent; the platform allows 4 s.
 constexpr std::chrono::milliseconds watch_wait{2500};
 
 /// Wait of the first watch of a source and after a failure. Its answer shows
@@ -23,16 +24,12 @@
 /// Delay after a watch with changes, so that one call returns several.
 constexpr std::chrono::milliseconds batch_delay{250};
 
-/// Delay after a failed call.
+/// Delay after a failed call, unless only its connection failed.
 constexpr std::chrono::milliseconds retry_delay{250};
 
 /// Shortest time between two log lines about unreadable items.
 constexpr std::chrono::seconds unreadable_log_interval{10};
 
-/// Items that lapsed in an outage are written again within this time after its
-/// end, including the time until the end is detected.
-constexpr std::chrono::milliseconds lapse_window{2500};
-
 /// A watch that exceeds its wait by this margin indicates a slow or unavailable
 /// store.
 constexpr std::chrono::milliseconds late_answer_margin{400};
@@ -42,8 +39,10 @@
 store_follower::store_follower(ports::runtime& runtime,
                                ports::event_log& log,
                                store_mirror& mirror,
+                               store_availability& availability,
                                reach_handler on_reach)
-    : runtime(runtime), log(log), mirror(mirror), on_reach(std::move(on_reach))
+    : runtime(runtime), log(log), mirror(mirror), availability(availability),
+      on_reach(std::move(on_reach))
 {
 }
 
@@ -102,8 +101,7 @@
 {
     if (!page)
     {
-        this->on_failure(page.error());
-        this->call_later(retry_delay, &store_follower::start_listing);
+        this->on_failure(page.error(), &store_follower::start_listing);
         return;
     }
     this->on_success();
@@ -130,8 +128,8 @@
              next_after == std::exchange(this->listing.last_key, next_after))
     {
         this->on_failure({base::result_code::platform_bad_answer,
-                          "a page does not lead to the next one"});
-        this->call_later(retry_delay, &store_follower::start_listing);
+                          "a page does not lead to the next one"},
+                         &store_follower::start_listing);
     }
     else
     {
@@ -146,8 +144,8 @@
     if (!this->mirror.apply_listing(listed, this->may_have_lapsed()))
     {
         this->on_failure({base::result_code::platform_unreachable,
-                          "the source has not noticed a restore of the store"});
-        this->call_later(retry_delay, &store_follower::start_listing);
+                          "the source has not noticed a restore of the store"},
+                         &store_follower::start_listing);
         return;
     }
     this->listed_at = this->runtime.now();
@@ -209,13 +207,14 @@
             this->list_again();
             return;
         }
-        this->on_failure(page.error());
-        this->call_later(retry_delay, &store_follower::watch);
+        this->on_failure(page.error(), &store_follower::watch);
         return;
     }
-    if (this->runtime.now() - sent_at > watch_wait + late_answer_margin)
+    const bool is_late =
+        this->runtime.now() - sent_at > watch_wait + late_answer_margin;
+    if (is_late && !this->source->is_copy())
     {
-        this->record_outage();
+        this->availability.on_late_answer(this->runtime.now());
     }
     this->on_success();
     this->log_unreadable(page->unreadable);
@@ -243,18 +242,31 @@
 {
     this->last_answer = this->runtime.now();
     this->has_answered = true;
+    if (!this->source->is_copy())
+    {
+        this->availability.on_answer(this->last_answer);
+    }
     if (!this->reachable)
     {
         this->reachable = true;
-        this->last_failure = this->last_answer;
         this->on_reach(true, {});
     }
 }
 
-void store_follower::on_failure(const base::error& error)
+void store_follower::on_failure(const base::error& error,
+                                void (store_follower::*retry)())
 {
-    this->record_outage();
-    this->has_answered = false;
+    // The node that is read instead marks what may have lapsed.
+    if (!this->source->is_copy())
+    {
+        this->availability.on_failure(error, this->runtime.now());
+    }
+    const bool was_answering = std::exchange(this->has_answered, false);
+    const bool is_connection_fault =
+        error.code == base::result_code::platform_connection_lost;
+    this->call_later(was_answering && is_connection_fault ? duration(0)
+                                                          : retry_delay,
+                     retry);
     if (this->reachable)
     {
         this->reachable = false;
@@ -275,12 +287,6 @@
     }
 }
 
-void store_follower::record_outage()
-{
-    this->has_failed = true;
-    this->last_failure = this->runtime.now();
-}
-
 void store_follower::call_later(duration delay, void (store_follower::*call)())
 {
     this->runtime.call_after(delay,
@@ -295,8 +301,7 @@
 
 bool store_follower::may_have_lapsed() const
 {
-    return this->has_failed &&
-           this->runtime.now() - this->last_failure < lapse_window;
+    return this->availability.may_have_lapsed(this->runtime.now());
 }
 
 } // namespace hawthornrelay::core::relay
--- a/src/core/relay/store_follower.hpp
+++ b/src/core/relay/store_follower.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <core/base/time.hpp>
+#include <core/relay/store_availability.hpp>
 #include <core/relay/store_mirror.hpp>
 #include <ports/event_log.hpp>
 #include <ports/metadata_store.hpp>
@@ -31,6 +32,7 @@
     store_follower(ports::runtime& runtime,
                    ports::event_log& log,
                    store_mirror& mirror,
+                   store_availability& availability,
                    reach_handler on_reach);
 
     /// @brief Switches to a source; answers to calls in flight are ignored.
@@ -52,13 +54,6 @@
         return this->reachable;
     }
 
-    /// @brief True if the store was unavailable so recently that items may have
-    ///        lapsed and may be written again.
-    [[nodiscard]] bool may_have_lapsed() const;
-
-    /// @brief Records that the store was unavailable.
-    void record_outage();
-
   private:
     void start_reading();
     void start_listing();
@@ -71,7 +66,9 @@
     void on_changes(base::time_point sent_at,
                     base::result<ports::store_page> page);
     void on_success();
-    void on_failure(const base::error& error);
+    /// Records a failed call and makes the next one.
+    void on_failure(const base::error& error, void (store_follower::*retry)());
+    [[nodiscard]] bool may_have_lapsed() const;
     /// Logs that a page had items that could not be read, at most once in an
     /// interval.
     void log_unreadable(std::size_t items);
@@ -80,6 +77,7 @@
     ports::runtime& runtime;
     ports::event_log& log;
     store_mirror& mirror;
+    store_availability& availability;
     reach_handler on_reach;
     ports::metadata_reader* source = nullptr;
     std::uint64_t generation = 0;
@@ -89,8 +87,6 @@
     base::time_point listed_at{};
     base::time_point next_unreadable_log{};
     base::time_point last_answer{};
-    base::time_point last_failure{};
-    bool has_failed = false;
     bool reachable = true;
     bool has_answered = false; ///< since the last failure or switch
 };
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -105,8 +105,10 @@
 
 /// @brief Reads keys from the store or from a node that mirrors it.
 ///
-/// Errors: platform_unreachable (the read failed), platform_bad_answer,
-/// history_gone (a new listing is needed before the next watch).
+/// Errors: platform_unreachable (no connection, or an error status),
+/// platform_connection_lost (an open connection failed or carried no answer in
+/// time), platform_bad_answer, history_gone (a new listing is needed before the
+/// next watch).
 class metadata_reader
 {
   public:
@@ -115,6 +117,13 @@
     metadata_reader& operator=(const metadata_reader&) = delete;
     virtual ~metadata_reader() = default;
 
+    /// @brief True if another node's copy is read. Its failures say nothing of
+    ///        the store, and it marks removals that may be lapses.
+    [[nodiscard]] virtual bool is_copy() const
+    {
+        return false;
+    }
+
     /// @brief Lists all keys, a page at a time.
     /// @param after the last key of the previous page; empty for the first page
     /// @param done receives the page; called once
--- a/tests/relay/test_peer_feed.cpp
+++ b/tests/relay/test_peer_feed.cpp
@@ -40,13 +40,17 @@
 struct node_copy
 {
     explicit node_copy(ports::runtime& runtime)
-        : follower(
-              runtime, this->log, this->mirror, [](bool, const std::string&) {})
+        : follower(runtime,
+                   this->log,
+                   this->mirror,
+                   this->availability,
+                   [](bool, const std::string&) {})
     {
     }
 
     tests::support::recording_log log;
     store_mirror mirror{this->log, [](const ports::store_item&) {}};
+    core::relay::store_availability availability{std::chrono::seconds(1)};
     store_follower follower;
 };
 
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -904,6 +904,34 @@
     BOOST_TEST(cluster.arrivals == 1U);
 }
 
+// Guards against: the connections of watches fall silent while the store and
+// other connections work, and a replica that leaves meanwhile gets requests for
+// longer than the stability window of 4 s.
+BOOST_AUTO_TEST_CASE(a_replica_that_leaves_beside_a_silent_watch_gets_nothing)
+{
+    relay_cluster cluster(2);
+    cluster.add_replica("r-2", 5ms);
+    cluster.io.run_for(1500ms);
+    BOOST_TEST_REQUIRE(cluster.store.has("nodes/node-0"));
+    BOOST_TEST_REQUIRE(cluster.store.has("nodes/node-1"));
+    cluster.store.silence_watches();
+    cluster.io.run_for(300ms);
+    cluster.store.remove("servers/r-1");
+    cluster.io.run_for(3700ms);
+    for (int i = 0; i < 20; ++i)
+    {
+        cluster.send_query("/one/x", i % 2);
+        cluster.io.run_for(20ms);
+    }
+    cluster.io.run_for(200ms);
+    BOOST_TEST(cluster.count(200) == 20U);
+    for (const auto& reply : cluster.answers)
+    {
+        BOOST_TEST_REQUIRE(reply.has_value());
+        BOOST_TEST(reply->headers.at("x-server-stamp") == "r-2.stamp");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_history_leads_to_a_new_listing)
 {
     relay_cluster cluster;
--- a/tests/relay/test_store_client.cpp
+++ b/tests/relay/test_store_client.cpp
@@ -16,6 +16,7 @@
 using namespace hawthornrelay;
 using namespace std::chrono_literals;
 using core::base::result;
+using core::base::result_code;
 using ports::store_page;
 using tests::support::platform_store;
 
@@ -276,3 +277,23 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(failures)
+
+// Guards against: a connection that fell silent cannot be told from a store
+// that is unavailable.
+BOOST_AUTO_TEST_CASE(a_silent_connection_is_told_from_an_unavailable_store)
+{
+    store_reader reader;
+    reader.store.is_silent = true;
+    const auto silent = reader.list({});
+    BOOST_TEST_REQUIRE(!silent.has_value());
+    BOOST_TEST((silent.error().code == result_code::platform_connection_lost));
+    reader.store.is_silent = false;
+    reader.store.refusal_status = 503;
+    const auto refused = reader.list({});
+    BOOST_TEST_REQUIRE(!refused.has_value());
+    BOOST_TEST((refused.error().code == result_code::platform_unreachable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/test_store_follower.cpp
+++ b/tests/relay/test_store_follower.cpp
@@ -24,6 +24,7 @@
 {
 
 constexpr std::chrono::milliseconds answer_delay{4};
+constexpr std::chrono::milliseconds heartbeat_interval{1200};
 
 /// Answers listings and watches with a delay, and counts them.
 class simulated_reader : public ports::metadata_reader
@@ -40,7 +41,7 @@
         this->loop.after(answer_delay,
                          [this, done]
                          {
-                             done(this->is_away ? unreachable()
+                             done(this->is_away ? this->failure()
                                                 : this->listing());
                          });
     }
@@ -53,6 +54,8 @@
     }
 
     bool is_away = false;
+    /// The error of calls while the source is away.
+    result_code failure_code = result_code::platform_unreachable;
     std::size_t listings = 0;
 
   protected:
@@ -63,6 +66,11 @@
         return fail(result_code::platform_unreachable, "away");
     }
 
+    [[nodiscard]] page_result failure() const
+    {
+        return fail(this->failure_code, "away");
+    }
+
     virtual page_result listing() = 0;
     virtual page_result changes(const ports::store_position& after) = 0;
 
@@ -74,7 +82,7 @@
         this->loop.after(answer_delay,
                          [this, after, until, done = std::move(done)]
                          {
-                             auto page = this->is_away ? unreachable()
+                             auto page = this->is_away ? this->failure()
                                                        : this->changes(after);
                              const bool must_wait = page &&
                                                     page->items.empty() &&
@@ -208,11 +216,17 @@
           follower(this->runtime,
                    this->log,
                    this->mirror,
+                   this->availability,
                    [](bool, const std::string&) {})
     {
         this->follower.follow(source);
     }
 
+    [[nodiscard]] bool is_copy() const override
+    {
+        return true;
+    }
+
     [[nodiscard]] std::map<std::string, std::string> values() const
     {
         std::map<std::string, std::string> result;
@@ -226,6 +240,7 @@
     process_runtime runtime;
     recording_log log;
     store_mirror mirror;
+    relay::store_availability availability{heartbeat_interval};
     store_follower follower;
 
   private:
@@ -424,3 +439,90 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(outages)
+
+// Guards against: a connection that breaks or falls silent counts as an outage
+// of the store, so that a replica that left meanwhile is kept as one whose
+// registration may come back.
+BOOST_AUTO_TEST_CASE(only_what_the_store_itself_shows_makes_a_removal_a_lapse)
+{
+    struct outage_case
+    {
+        const char* description;
+        result_code failure;
+        std::chrono::milliseconds away;
+        bool is_copy_away; ///< the copy that a node follows, not the store
+        bool may_have_lapsed;
+    };
+    const std::vector<outage_case> cases{
+        {"a connection",
+         result_code::platform_connection_lost,
+         10ms,
+         false,
+         false},
+        {"silence below two heartbeats",
+         result_code::platform_connection_lost,
+         heartbeat_interval - 200ms,
+         false,
+         false},
+        {"silence of two heartbeats",
+         result_code::platform_connection_lost,
+         2 * heartbeat_interval + 100ms,
+         false,
+         true},
+        {"a refused call",
+         result_code::platform_unreachable,
+         10ms,
+         false,
+         true},
+        {"a lost node", result_code::platform_unreachable, 10ms, true, false},
+    };
+    for (const auto& item : cases)
+    {
+        BOOST_TEST_CONTEXT(item.description)
+        {
+            copies fixture;
+            auto& away = item.is_copy_away
+                             ? static_cast<simulated_reader&>(fixture.first)
+                             : fixture.store;
+            auto& reader = item.is_copy_away ? fixture.third : fixture.first;
+            const auto before = reader.mirror.position();
+            away.failure_code = item.failure;
+            away.is_away = true;
+            fixture.store.remove("replica");
+            fixture.loop.run_for(item.away);
+            away.is_away = false;
+            fixture.loop.run_for(500ms);
+            const auto changes = reader.mirror.changes_since(before);
+            BOOST_TEST_REQUIRE(changes.has_value());
+            const auto& removal = changes->items.back();
+            BOOST_TEST_REQUIRE(removal.key == "replica");
+            BOOST_TEST(removal.is_removed);
+            BOOST_TEST(removal.may_have_lapsed == item.may_have_lapsed);
+        }
+    }
+}
+
+// Guards against: a node takes the silence of one connection for an outage
+// although its other calls were answered.
+BOOST_AUTO_TEST_CASE(answers_on_other_connections_show_that_the_store_is_there)
+{
+    relay::store_availability availability(heartbeat_interval);
+    const hawthornrelay::core::base::error lost{
+        result_code::platform_connection_lost, ""};
+    const time_point start{1h};
+    availability.on_answer(start);
+    availability.on_answer(start + 3s);
+    availability.on_failure(lost, start + 3400ms);
+    BOOST_TEST(!availability.may_have_lapsed(start + 3400ms));
+    availability.on_answer(start + 3410ms);
+    BOOST_TEST(!availability.may_have_lapsed(start + 3410ms));
+    availability.on_failure(lost, start + 7s);
+    BOOST_TEST(availability.may_have_lapsed(start + 7s));
+    availability.on_answer(start + 8s);
+    BOOST_TEST(availability.may_have_lapsed(start + 10s));
+    BOOST_TEST(!availability.may_have_lapsed(start + 11s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -67,6 +67,17 @@
         }
     }
 
+    /// Leaves the pending watches unanswered for good, as on connections that
+    /// have fallen silent; other connections work.
+    void silence_watches()
+    {
+        for (const auto& item : std::exchange(this->watchers, {}))
+        {
+            item->timer->cancel();
+            this->silenced.push_back(item);
+        }
+    }
+
     /// Drops past changes: watches from before the current revision get 410.
     void compact_history()
     {
@@ -456,6 +467,7 @@
     std::map<std::string, boost::json::value> returned_as; ///< by key
     std::vector<change> history;
     std::vector<std::shared_ptr<watcher>> watchers;
+    std::vector<std::shared_ptr<watcher>> silenced;
     std::uint64_t revision = 1;
     std::uint64_t history_start = 0;
     std::uint64_t last_lease = 0;
