Cold replicas: deal the bound to the nodes in whole requests

Callers saw: all replicas of a service came back cold, and 8 nodes sent one 7 or 8 requests in a second where it takes 6.5, and 15 or 16 where it takes 14.

Now the bound is rounded down and dealt to the entries by rank, so that the parts add up to it; a node that counts more entries never has a larger part. A part holds for 1 s and the 0.25 s in which a request is written or dropped, which the connection now checks. Standbys, which others do not count, have none.

--- a/src/adapters/relay/replica_connection.cpp
+++ b/src/adapters/relay/replica_connection.cpp
@@ -24,7 +24,7 @@
 
 /// A replica that does not accept in this time counts as unreachable. The
 /// kernel retransmits a lost SYN only after a second.
-constexpr std::chrono::milliseconds connect_timeout{250};
+constexpr std::chrono::milliseconds connect_timeout = ports::max_send_delay;
 
 /// Bytes requested by one read.
 constexpr std::size_t read_size = 2U << 10U;
@@ -122,6 +122,7 @@
 void replica_connection::start(job work)
 {
     this->current = std::move(work);
+    this->started_at = std::chrono::steady_clock::now();
     this->last_request_id = this->current->request->id;
     if (this->phase == state::idle)
     {
@@ -133,19 +134,22 @@
 void replica_connection::write()
 {
     this->phase = state::busy;
+    const auto now = std::chrono::steady_clock::now();
     const auto time_left =
         std::chrono::duration_cast<std::chrono::milliseconds>(
-            this->current->deadline - std::chrono::steady_clock::now());
-    if (time_left.count() <= 0)
+            this->current->deadline - now);
+    const bool is_late = now - this->started_at > ports::max_send_delay;
+    if (time_left.count() <= 0 || is_late)
     {
         // Connecting took too long; other requests may use the connection.
         this->become_idle();
         boost::asio::post(this->socket.get_executor(),
-                          [self = this->shared_from_this()]
+                          [self = this->shared_from_this(), is_late]
                           {
                               ports::send_outcome outcome;
                               outcome.result = send_result::not_sent;
-                              outcome.detail = "no time left";
+                              outcome.detail = is_late ? "connecting took long"
+                                                       : "no time left";
                               self->finish(outcome);
                           });
         return;
--- a/src/adapters/relay/replica_connection.hpp
+++ b/src/adapters/relay/replica_connection.hpp
@@ -131,6 +131,8 @@
     std::optional<job> current;
     std::optional<std::string> last_request_id;
     std::chrono::steady_clock::time_point last_used{};
+    /// When the current request was handed over.
+    std::chrono::steady_clock::time_point started_at{};
     std::string outgoing_head;
     std::chrono::milliseconds keep_alive_timeout{0};
     state phase = state::connecting;
--- a/src/core/relay/replica_registry.cpp
+++ b/src/core/relay/replica_registry.cpp
@@ -25,7 +25,7 @@
 
 bool replica_registry::put(const replica_record& record, time_point now)
 {
-    std::vector<time_point> recent_sends;
+    std::deque<time_point> recent_sends;
     replica_pace earlier_pace;
     const bool starts_slowly = this->reports_work(record.service);
     const auto known = this->replicas.find(record.id);
--- a/src/core/relay/replica_registry.hpp
+++ b/src/core/relay/replica_registry.hpp
@@ -2,6 +2,7 @@
 /// @brief The replicas registered in the platform's store.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,7 +39,7 @@
     /// Requests that it takes, as long as it says so in its answers.
     std::optional<replica_limit> limit;
     /// Times of recent sends, for the bound on cold replicas.
-    std::vector<base::time_point> recent_sends;
+    std::deque<base::time_point> recent_sends;
 };
 
 /// @brief A replica shared by the registry and requests in flight.
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -9,6 +9,7 @@
 
 #include <core/relay/request_execution.hpp>
 #include <core/relay/rollout_manager.hpp>
+#include <core/relay/shared_bound.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -47,9 +48,9 @@
 constexpr double spread_per_cost = 2.0;
 constexpr double max_spread_cost = 2.5;
 
-/// Fraction of the bound on cold replicas that the entries use, since sends
-/// spread over one second may arrive within less.
-constexpr double cold_safety_factor = 0.6;
+/// A node's part of the bound on cold replicas holds for this long. Requests
+/// written within one second were chosen within this time.
+constexpr duration cold_span = std::chrono::seconds(1) + ports::max_send_delay;
 
 /// A longer gap between calls of record_running() means that the process was
 /// paused. A replica can restart and register in about this time.
@@ -63,9 +64,6 @@
 /// so that it gets at most some 64 such checks a second.
 constexpr unsigned entries_per_recheck = 16;
 
-/// A standby serves few requests and may use 1/16 of an entry's portion.
-constexpr unsigned standby_cold_divisor = 16;
-
 } // namespace
 
 request_engine::request_engine(engine_settings settings,
@@ -672,40 +670,51 @@
     return result;
 }
 
+std::size_t request_engine::rank_of_self(const replica& target) const
+{
+    // The last rank has the smallest part.
+    return this->rank_among_entries ? this->rank_among_entries(target.record.id)
+                                    : this->entry_count - 1;
+}
+
+std::size_t request_engine::cold_bound(const replica& target) const
+{
+    return static_cast<std::size_t>(
+        std::max(0.0,
+                 this->cold_rate(target) * this->settings.cold_overshoot +
+                     this->settings.cold_slack));
+}
+
+std::size_t request_engine::cold_part(const replica& target) const
+{
+    return this->is_entry
+               ? part_of(this->cold_bound(target),
+                         {this->entry_count, this->rank_of_self(target)})
+               : 0;
+}
+
 bool request_engine::try_admit(replica& target, time_point now)
 {
-    const double rate = this->cold_rate(target);
-    const bool is_cold = target.cold_until > now || target.may_be_cold;
-    if (rate <= 0)
+    if (this->cold_rate(target) <= 0)
     {
         return true;
     }
-    const double fleet_rate =
-        rate * this->settings.cold_overshoot + this->settings.cold_slack;
-    const double own_rate =
-        fleet_rate * cold_safety_factor /
-        static_cast<double>(this->entry_count *
-                            (this->is_entry ? 1U : standby_cold_divisor));
-    // Rates below one send per second need a longer window.
-    const auto span = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(std::max(1.0, 1.0 / own_rate)));
-    std::erase_if(target.recent_sends,
-                  [&](time_point sent)
-                  {
-                      return sent + span <= now;
-                  });
-    // Sends before the replica was known to be cold count as well.
-    const double max_sends = std::max(1.0, own_rate);
     auto& sent = target.recent_sends;
-    if (is_cold && static_cast<double>(sent.size()) >= max_sends)
+    while (!sent.empty() && sent.front() + cold_span <= now)
+    {
+        sent.pop_front();
+    }
+    // Sends before the replica was known to be cold count as well.
+    const bool is_cold = target.cold_until > now || target.may_be_cold;
+    if (is_cold && sent.size() >= this->cold_part(target))
     {
         return false;
     }
     sent.push_back(now);
-    if (static_cast<double>(sent.size()) > max_sends + 1)
+    if (sent.size() > this->cold_bound(target))
     {
-        // The bound needs only the newest sends.
-        sent.erase(sent.begin());
+        // No part needs more than the newest sends.
+        sent.pop_front();
     }
     return true;
 }
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -246,7 +246,15 @@
     ///         is none
     [[nodiscard]] std::optional<base::duration>
     until_available(const std::string& service) const;
+    /// Counts a send to a replica unless it is cold and this node's part of
+    /// the bound is used up.
     bool try_admit(replica& target, base::time_point now);
+    [[nodiscard]] std::size_t rank_of_self(const replica& target) const;
+    /// @return whole requests that a cold replica takes in a second from all
+    ///         nodes together
+    [[nodiscard]] std::size_t cold_bound(const replica& target) const;
+    /// @return this node's part of cold_bound(), for a time of cold_span
+    [[nodiscard]] std::size_t cold_part(const replica& target) const;
     [[nodiscard]] double cold_rate(const replica& target) const;
     void remove_request(std::uint64_t request);
 
--- a/src/ports/replica_transport.hpp
+++ b/src/ports/replica_transport.hpp
@@ -2,6 +2,7 @@
 /// @brief Interface for sending requests to replicas.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -79,6 +80,9 @@
     std::optional<core::relay::replica_load> load{}; ///< as in send_outcome
 };
 
+/// A request is written within this time after send(), or not at all.
+inline constexpr std::chrono::milliseconds max_send_delay{250};
+
 /// @brief Sends requests to replicas over persistent connections.
 class replica_transport
 {
@@ -90,7 +94,7 @@
     replica_transport& operator=(const replica_transport&) = delete;
     virtual ~replica_transport() = default;
 
-    /// @brief Sends one request.
+    /// @brief Sends one request, within max_send_delay or not at all.
     /// @param to the replica that must answer
     /// @param request the request
     /// @param time_left the remaining time of the caller
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -1205,6 +1205,36 @@
     BOOST_TEST((result(ok + "\r\nwhole", true) == send_result::answered));
 }
 
+// Guards against: a request whose connection opened late, since the process was
+// paused, is written in a later second than the one in which it was counted.
+BOOST_AUTO_TEST_CASE(a_request_is_written_soon_or_not_at_all)
+{
+    boost::asio::io_context io;
+    raw_server server(io, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+    const auto link = std::make_shared<replica_connection>(
+        io,
+        std::make_shared<core::relay::answer_memory>(1U << 20U),
+        [](const replica_connection*) {});
+    auto message = std::make_shared<ports::forwarded_request>();
+    message->method = "GET";
+    message->target = "/";
+    replica_connection::job work;
+    work.request = message;
+    work.deadline = std::chrono::steady_clock::now() + 2s;
+    std::optional<send_result> result;
+    work.done = [&](const ports::send_outcome& outcome)
+    {
+        result = outcome.result;
+    };
+    link->connect(server.endpoint());
+    link->start(std::move(work));
+    usleep(300'000); // the connection is open, and its timeout has passed
+    io.run_for(100ms);
+    BOOST_TEST((result == send_result::not_sent));
+    BOOST_TEST(server.last_request.empty());
+    link->abort();
+}
+
 BOOST_AUTO_TEST_CASE(what_a_replica_says_of_its_state_is_not_for_callers)
 {
     const auto outcome =
