HTTP server: limits are read at the first byte of a request

Cause: a connection copied the limits into the parser of its next request as soon as the previous answer was written. All nodes had logged the new version 6.0 s before they refused.

Now a request gets the limits that are in force when its first byte arrives, and keeps them. A longer idle limit applies to connections that are idle already.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -289,7 +289,7 @@
             return;
         }
         this->current = state::idle;
-        this->make_parser();
+        this->parser.emplace();
         if (this->buffer.size() == 0 &&
             this->buffer.capacity() > max_kept_buffer_bytes)
         {
@@ -298,6 +298,7 @@
         this->charge.set_phase(this->has_served ? client_phase::kept
                                                 : client_phase::unused);
         this->charge.hold(this->held());
+        this->idle_since = std::chrono::steady_clock::now();
         this->expire_after(this->owner->limits.idle);
         if (this->buffer.size() > 0)
         {
@@ -309,9 +310,10 @@
         }
     }
 
-    void make_parser()
+    /// Applies the limits to the next request. Called when its first byte has
+    /// arrived, since they may have changed while the connection was idle.
+    void set_parser_limits()
     {
-        this->parser.emplace();
         this->parser->eager(true);
         this->parser->body_limit(this->owner->limits.body_bytes);
         this->parser->header_limit(this->owner->limits.header_bytes);
@@ -425,6 +427,10 @@
             this->refuse(result_code::request_timeout,
                          "the request was not received in time");
         }
+        else if (this->current == state::idle && this->may_stay_idle())
+        {
+            this->expire_after(this->idle_time_left());
+        }
         else if (this->current != state::handling)
         {
             if (this->current == state::writing)
@@ -435,6 +441,20 @@
         }
     }
 
+    [[nodiscard]] std::chrono::milliseconds idle_time_left() const
+    {
+        return std::chrono::ceil<std::chrono::milliseconds>(
+            this->idle_since + this->owner->limits.idle -
+            std::chrono::steady_clock::now());
+    }
+
+    /// Tells whether the limit was raised since the connection became idle.
+    [[nodiscard]] bool may_stay_idle() const
+    {
+        return !this->owner->is_closing_idle &&
+               this->idle_time_left() > std::chrono::milliseconds(0);
+    }
+
     void read()
     {
         if (this->is_reading || this->current == state::closed)
@@ -621,6 +641,7 @@
         if (this->current == state::idle)
         {
             this->current = state::receiving;
+            this->set_parser_limits();
             this->unproductive_bytes = 0;
             this->is_body_timed = false;
             this->charge.set_phase(client_phase::receiving);
@@ -866,6 +887,7 @@
     beast_server* owner;
     std::string caller; ///< IP address; empty if it is unavailable
     state current = state::idle;
+    std::chrono::steady_clock::time_point idle_since{};
     std::uint64_t exchange = 0;
     bool is_reading = false;
     bool has_sent_continue = false;
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -1,5 +1,6 @@
 // Tests of the HTTP server on loopback sockets: planned stops, pipelined
-// requests, methods without a body, long fields and failing handlers.
+// requests, methods without a body, long fields, failing handlers and changes
+// of the limits.
 #define BOOST_TEST_MODULE http_server
 #include <boost/test/unit_test.hpp>
 
@@ -319,3 +320,91 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(changed_limits)
+
+// Guards against: a connection that was open before a limit was changed keeps
+// the old one for its next request, so that a proper request is refused.
+BOOST_AUTO_TEST_CASE(they_apply_to_the_next_request_on_an_open_connection)
+{
+    adapters::http::server_limits low;
+    low.body_bytes = 1000;
+    low.header_bytes = 1000;
+    adapters::http::server_limits high;
+    high.body_bytes = 100'000;
+    high.header_bytes = 100'000;
+    const std::string padding(60'000, 'x');
+    const std::string long_body = "POST /x HTTP/1.1\r\nHost: h\r\n"
+                                  "Content-Length: 60000\r\n\r\n" +
+                                  padding;
+    const std::string long_header =
+        "GET /x HTTP/1.1\r\nHost: h\r\nX-Long: " + padding + "\r\n\r\n";
+    for (const auto& text : {long_body, long_header})
+    {
+        for (const bool is_kept : {true, false})
+        {
+            stopping_server changing;
+            changing.server->set_limits(low);
+            auto raised = changing.connect();
+            auto lowered = changing.connect();
+            changing.io.run_for(20ms);
+            if (is_kept)
+            {
+                stopping_server::write(raised, request_text);
+                BOOST_TEST(changing.read(raised).ends_with("whole"));
+            }
+            changing.server->set_limits(high);
+            stopping_server::write(raised, text);
+            BOOST_TEST(changing.read(raised).starts_with("HTTP/1.1 200"));
+            if (is_kept)
+            {
+                stopping_server::write(lowered, text);
+                BOOST_TEST(changing.read(lowered).starts_with("HTTP/1.1 200"));
+            }
+            changing.server->set_limits(low);
+            stopping_server::write(lowered, text);
+            BOOST_TEST(changing.read(lowered).starts_with("HTTP/1.1 400"));
+        }
+    }
+}
+
+// Guards against: a request is refused by a limit that was lowered after it
+// had begun.
+BOOST_AUTO_TEST_CASE(they_do_not_apply_to_a_request_that_has_begun)
+{
+    stopping_server changing;
+    auto caller = changing.connect();
+    stopping_server::write(caller,
+                           "POST /x HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 2000\r\n\r\n" +
+                               std::string(1000, 'x'));
+    changing.io.run_for(20ms);
+    adapters::http::server_limits low;
+    low.body_bytes = 1000;
+    low.header_bytes = 1000;
+    changing.server->set_limits(low);
+    stopping_server::write(caller, std::string(1000, 'x'));
+    BOOST_TEST(changing.read(caller).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against: a kept connection is closed by the idle limit that was in
+// force when it became idle, although the limit is longer now.
+BOOST_AUTO_TEST_CASE(a_longer_idle_limit_keeps_open_connections)
+{
+    stopping_server changing;
+    adapters::http::server_limits limits;
+    limits.idle = 100ms;
+    changing.server->set_limits(limits);
+    auto caller = changing.connect();
+    stopping_server::write(caller, request_text);
+    changing.io.run_for(20ms);
+    limits.idle = 600ms;
+    changing.server->set_limits(limits);
+    changing.io.run_for(300ms);
+    stopping_server::write(caller, request_text);
+    BOOST_TEST(count(changing.read(caller), "whole") == 2U);
+    changing.io.run_for(700ms);
+    BOOST_TEST(changing.server->connections() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
