Cold replicas: a node uses its part only while the others know it

Cause: a process counted its sends from its own start, and divided the bound by the nodes that it happened to know.

Now part_window lets a node use its part from 6 s after its registration on, while the store has confirmed it within 4.5 s and the copy of the store is not older than that. docs/design/cold-replicas.md derives why any two nodes that send at the same time count each other then. Nodes tell the age of their copy with their answers to others, and watches of a copy end after 1 s. New: log events 1067 and 1068, the counter cold_deferrals.

Failed before: test_relay_process restarted_nodes_send_*.

--- a/src/adapters/relay/membership.cpp
+++ b/src/adapters/relay/membership.cpp
@@ -86,6 +86,7 @@
             write_node_registration(this->nodes.self()),
             settings.min_lease,
             this->deps.availability,
+            this->deps.window,
             [this](bool is_reachable, const std::string& reason)
             {
                 this->on_store_status(is_reachable, reason);
@@ -253,6 +254,14 @@
         this->source.age(this->nodes, now).value_or(now - known_at);
 }
 
+void membership::update_copy_age()
+{
+    if (const auto& at = this->deps.follower.current_at())
+    {
+        this->deps.window.on_copy_current(*at);
+    }
+}
+
 void membership::update_role()
 {
     const auto now = this->deps.runtime.now();
@@ -285,6 +294,7 @@
 {
     this->update_role();
     this->update_self();
+    this->update_copy_age();
     if (this->source.has_source())
     {
         this->source.update(this->nodes, this->lease.is_reachable());
--- a/src/adapters/relay/membership.hpp
+++ b/src/adapters/relay/membership.hpp
@@ -40,6 +40,7 @@
         const core::relay::store_mirror& mirror;
         core::relay::store_follower& follower;
         core::relay::store_availability& availability;
+        core::relay::part_window& window;
         /// Whether this node can serve callers.
         std::function<bool()> is_ready;
         /// Whether most replicas of other zones are unreachable.
@@ -105,6 +106,8 @@
     void run_beacon_round();
     void update_self();
     void update_role();
+    /// Records up to when the copy of the store is known to be complete.
+    void update_copy_age();
     void send_beacons();
     /// Sends what other nodes need for the roll-outs in progress.
     void send_rollouts(const std::set<std::string>& addresses);
--- a/src/adapters/relay/peer_feed.cpp
+++ b/src/adapters/relay/peer_feed.cpp
@@ -27,6 +27,7 @@
 constexpr std::string_view watch_target = "/watch?after=";
 constexpr std::string_view era_parameter = "&era=";
 constexpr std::string_view wait_header = "wait-ms";
+constexpr std::string_view age_header = "copy-age-us";
 
 constexpr unsigned status_gone = 410;
 constexpr unsigned status_unavailable = 503;
@@ -35,6 +36,9 @@
 /// response, whatever the size of the whole listing.
 constexpr std::size_t page_size = 512U << 10U;
 
+/// Greatest age that is read, in microseconds.
+constexpr std::uint64_t max_age = 3'600'000'000;
+
 /// Time for an answer beyond the wait that was requested.
 constexpr std::chrono::milliseconds answer_timeout{600};
 
@@ -168,6 +172,15 @@
     return page;
 }
 
+/// Reads the age of the copy that a page is from.
+std::optional<core::base::duration> read_age(const http::header_map& headers)
+{
+    const auto text = http::header(headers, age_header);
+    return text.empty() ? std::nullopt
+                        : std::optional(core::base::duration(
+                              std::min(parse_number(text), max_age)));
+}
+
 http::response status_response(unsigned status)
 {
     http::response reply;
@@ -178,8 +191,9 @@
 } // namespace
 
 peer_feed::peer_feed(ports::runtime& runtime,
-                     const core::relay::store_mirror& mirror)
-    : runtime(runtime), mirror(mirror)
+                     const core::relay::store_mirror& mirror,
+                     const core::relay::store_follower& follower)
+    : runtime(runtime), mirror(mirror), follower(follower)
 {
 }
 
@@ -248,7 +262,7 @@
     http::response reply;
     reply.content_type = "application/octet-stream";
     reply.body = found->second;
-    return reply;
+    return this->with_age(std::move(reply));
 }
 
 void peer_feed::on_change()
@@ -263,10 +277,20 @@
 void peer_feed::answer(const pending_watch& watch)
 {
     const auto changes = this->mirror.changes_since(watch.after);
-    watch.respond(changes ? page_response(*changes)
+    watch.respond(changes ? this->with_age(page_response(*changes))
                           : status_response(status_gone));
 }
 
+http::response peer_feed::with_age(http::response reply) const
+{
+    if (const auto& at = this->follower.current_at())
+    {
+        const auto age = this->runtime.now() - *at;
+        reply.headers[std::string(age_header)] = std::to_string(age.count());
+    }
+    return reply;
+}
+
 peer_reader::peer_reader(boost::asio::io_context& io, std::string address)
     : io(io), address(std::move(address))
 {
@@ -322,7 +346,12 @@
             }
             else
             {
-                done(decode(answer->body));
+                auto page = decode(answer->body);
+                if (page)
+                {
+                    page->copy_age = read_age(answer->headers);
+                }
+                done(std::move(page));
             }
         });
 }
--- a/src/adapters/relay/peer_feed.hpp
+++ b/src/adapters/relay/peer_feed.hpp
@@ -14,6 +14,7 @@
 
 #include <adapters/http/client.hpp>
 #include <adapters/http/server.hpp>
+#include <core/relay/store_follower.hpp>
 #include <core/relay/store_mirror.hpp>
 #include <ports/metadata_store.hpp>
 #include <ports/runtime.hpp>
@@ -27,7 +28,12 @@
   public:
     /// @brief Takes the mirror to serve; the references must outlive this
     ///        object.
-    peer_feed(ports::runtime& runtime, const core::relay::store_mirror& mirror);
+    /// @param runtime the clock
+    /// @param mirror the mirror
+    /// @param follower keeps the mirror up to date, and tells its age
+    peer_feed(ports::runtime& runtime,
+              const core::relay::store_mirror& mirror,
+              const core::relay::store_follower& follower);
 
     /// @brief Handles one request of another node; a watch without changes is
     ///        answered later.
@@ -45,9 +51,12 @@
 
     void answer(const pending_watch& watch);
     [[nodiscard]] http::response listing(const std::string& after);
+    /// Adds the age of the mirror to a response.
+    [[nodiscard]] http::response with_age(http::response reply) const;
 
     ports::runtime& runtime;
     const core::relay::store_mirror& mirror;
+    const core::relay::store_follower& follower;
     std::map<std::uint64_t, pending_watch> pending;
     std::uint64_t next_watch_id = 1;
     /// Encoded pages by the key that they begin after, cached since many
--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -151,7 +151,7 @@
                  {
                      this->on_item(item);
                  }),
-          feed(this->runtime, this->mirror),
+          feed(this->runtime, this->mirror, this->follower),
           availability(this->settings.heartbeat_interval),
           follower(this->runtime,
                    this->log,
@@ -169,6 +169,7 @@
                .mirror = this->mirror,
                .follower = this->follower,
                .availability = this->availability,
+               .window = this->window,
                .is_ready =
                    [this]
                {
@@ -249,6 +250,7 @@
             }
         };
         this->engine.rollouts = &this->rollouts;
+        this->engine.window = &this->window;
         this->change_handler.rollouts = &this->rollouts;
         this->rollouts.set_bounds(this->settings.rollouts,
                                   this->settings.min_lease);
@@ -322,6 +324,8 @@
     core::relay::store_mirror mirror;
     peer_feed feed;
     core::relay::store_availability availability;
+    core::relay::part_window window;
+    bool had_cold_part = false;
     core::relay::store_follower follower;
     membership members;
     quota_exchange quotas;
@@ -519,6 +523,14 @@
     const auto count = nodes.entry_count(this->runtime.now());
     const bool is_entry = nodes.self().is_entry;
     this->engine.set_division(count, is_entry);
+    const bool has_cold_part =
+        is_entry && this->window.is_open(this->runtime.now());
+    if (std::exchange(this->had_cold_part, has_cold_part) != has_cold_part)
+    {
+        this->log.write(has_cold_part ? log_event::cold_part_begun
+                                      : log_event::cold_part_ended,
+                        {{"entries", std::to_string(count)}});
+    }
     this->pool.set_bounds(
         this->engine.configuration_in_force(), count, is_entry);
 }
--- a/src/core/base/log_event.cpp
+++ b/src/core/base/log_event.cpp
@@ -106,6 +106,8 @@
     event_row{log_event::node_silent, "node_silent", log_level::warning},
     event_row{log_event::entry_joined, "entry_joined", log_level::info},
     event_row{log_event::entry_left, "entry_left", log_level::info},
+    event_row{log_event::cold_part_begun, "cold_part_begun", log_level::info},
+    event_row{log_event::cold_part_ended, "cold_part_ended", log_level::info},
     event_row{log_event::cut_off, "cut_off", log_level::warning},
     event_row{log_event::cut_healed, "cut_healed", log_level::info},
     event_row{log_event::source_avoided, "source_avoided", log_level::warning},
--- a/src/core/base/log_event.hpp
+++ b/src/core/base/log_event.hpp
@@ -111,6 +111,8 @@
     quarantine_ignored = 1064,
     handler_failed = 1065,
     store_items_unreadable = 1066,
+    cold_part_begun = 1067,
+    cold_part_ended = 1068,
     organisations_in_force = 1070,
 
     rollout_ordered = 1085,
--- a/src/core/relay/node_directory.cpp
+++ b/src/core/relay/node_directory.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <core/base/hash.hpp>
+#include <core/relay/part_window.hpp>
 
 namespace hawthornrelay::core::relay
 {
@@ -27,10 +28,6 @@
 /// A newly registered entry is presumed running this long without a beacon.
 constexpr std::chrono::milliseconds first_beacon_grace{1000};
 
-/// An entry that has ended counts this long in the division of shared bounds,
-/// since it may have used its portion until it ended.
-constexpr std::chrono::seconds shared_bound_retention{12};
-
 } // namespace
 
 node_directory::node_directory(node_record self) : own(std::move(self))
@@ -360,7 +357,7 @@
 
 bool node_directory::is_counted(const node_state& item, time_point now)
 {
-    return item.is_listed || now - item.last_entry_at <= shared_bound_retention;
+    return item.is_listed || now - item.last_entry_at <= part_window::retention;
 }
 
 std::size_t node_directory::rank_among_entries(const std::string& key,
--- a/src/core/relay/node_lease.cpp
+++ b/src/core/relay/node_lease.cpp
@@ -29,11 +29,12 @@
                        std::string value,
                        std::chrono::milliseconds min_lease,
                        store_availability& availability,
+                       part_window& window,
                        reach_handler on_reach)
     : runtime(runtime), store(store), key(std::move(key)),
       value(std::move(value)),
       lease_duration(std::max(default_lease_duration, min_lease)),
-      availability(availability), on_reach(std::move(on_reach))
+      availability(availability), window(window), on_reach(std::move(on_reach))
 {
 }
 
@@ -51,6 +52,7 @@
 {
     this->is_running = false;
     ++this->generation;
+    this->window.on_ended();
     if (const auto ended = std::exchange(this->lease, 0); ended != 0)
     {
         this->store.end_lease(ended,
@@ -97,6 +99,7 @@
                         }
                         if (written)
                         {
+                            this->window.on_registered(this->runtime.now());
                             this->on_success(&node_lease::renew,
                                              renew_interval);
                             return;
@@ -123,6 +126,7 @@
             }
             if (renewed)
             {
+                this->window.on_renewed(this->runtime.now());
                 this->on_success(&node_lease::renew, renew_interval);
             }
             else if (renewed.error().code == base::result_code::no_such_item)
--- a/src/core/relay/node_lease.hpp
+++ b/src/core/relay/node_lease.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include <core/base/time.hpp>
+#include <core/relay/part_window.hpp>
 #include <core/relay/store_availability.hpp>
 #include <ports/metadata_store.hpp>
 #include <ports/runtime.hpp>
@@ -29,12 +30,14 @@
     /// @param value its value
     /// @param min_lease the shortest lease that the store grants
     /// @param availability records the answers and failures of the calls
+    /// @param window records when the registration was confirmed
     node_lease(ports::runtime& runtime,
                ports::metadata_store& store,
                std::string key,
                std::string value,
                std::chrono::milliseconds min_lease,
                store_availability& availability,
+               part_window& window,
                reach_handler on_reach);
 
     /// @brief Acquires the lease and renews it until stop().
@@ -70,6 +73,7 @@
     std::string value;
     std::chrono::milliseconds lease_duration;
     store_availability& availability;
+    part_window& window;
     reach_handler on_reach;
     ports::lease_id lease = 0;
     base::time_point last_answer{};
--- a/src/core/relay/relay_counters.hpp
+++ b/src/core/relay/relay_counters.hpp
@@ -47,6 +47,7 @@
     quota_asks,
     quota_messages,
     unreadable_items,
+    cold_deferrals,
     end
 };
 
@@ -84,7 +85,8 @@
                         "quota_refusals",
                         "quota_asks",
                         "quota_messages",
-                        "unreadable_items"};
+                        "unreadable_items",
+                        "cold_deferrals"};
 
 /// @brief A latency histogram with fixed bounds.
 class latency_histogram
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -48,10 +48,21 @@
 constexpr double spread_per_cost = 2.0;
 constexpr double max_spread_cost = 2.5;
 
+/// The store has executed a call at most this long before its answer.
+constexpr std::chrono::milliseconds max_store_answer_time{900};
+
 /// A node's part of the bound on cold replicas holds for this long. Requests
 /// written within one second were chosen within this time.
 constexpr duration cold_span = std::chrono::seconds(1) + ports::max_send_delay;
 
+// The conditions of docs/design/cold-replicas.md under which each node that
+// sends is counted by the others that do.
+static_assert(part_window::join_wait >= part_window::max_copy_age + cold_span);
+static_assert(part_window::join_wait >=
+              part_window::max_unconfirmed + cold_span);
+static_assert(part_window::retention >=
+              part_window::max_unconfirmed + max_store_answer_time + cold_span);
+
 /// A longer gap between calls of record_running() means that the process was
 /// paused. A replica can restart and register in about this time.
 constexpr std::chrono::seconds min_detected_pause{1};
@@ -685,12 +696,14 @@
                      this->settings.cold_slack));
 }
 
-std::size_t request_engine::cold_part(const replica& target) const
+std::size_t request_engine::cold_part(const replica& target,
+                                      time_point now) const
 {
-    return this->is_entry
-               ? part_of(this->cold_bound(target),
-                         {this->entry_count, this->rank_of_self(target)})
-               : 0;
+    const bool has_part = this->is_entry && (this->window == nullptr ||
+                                             this->window->is_open(now));
+    return has_part ? part_of(this->cold_bound(target),
+                              {this->entry_count, this->rank_of_self(target)})
+                    : 0;
 }
 
 bool request_engine::try_admit(replica& target, time_point now)
@@ -706,8 +719,9 @@
     }
     // Sends before the replica was known to be cold count as well.
     const bool is_cold = target.cold_until > now || target.may_be_cold;
-    if (is_cold && sent.size() >= this->cold_part(target))
+    if (is_cold && sent.size() >= this->cold_part(target, now))
     {
+        this->counters.add(relay_counter::cold_deferrals);
         return false;
     }
     sent.push_back(now);
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -18,6 +18,7 @@
 #include <core/relay/configuration.hpp>
 #include <core/relay/crash_tracker.hpp>
 #include <core/relay/extra_budget.hpp>
+#include <core/relay/part_window.hpp>
 #include <core/relay/quota_ledger.hpp>
 #include <core/relay/relay_counters.hpp>
 #include <core/relay/replica_registry.hpp>
@@ -151,6 +152,10 @@
     ///        same at all nodes; 0 for the first.
     std::function<std::size_t(const std::string& replica)> rank_among_entries;
 
+    /// @brief Tells when this node may use its part of the bound on cold
+    ///        replicas; nullptr for always. It must outlive this object.
+    const part_window* window = nullptr;
+
     /// @brief Limits the requests of organisations; nullptr for no limits. It
     ///        must outlive this object.
     quota_ledger* quotas = nullptr;
@@ -254,7 +259,8 @@
     ///         nodes together
     [[nodiscard]] std::size_t cold_bound(const replica& target) const;
     /// @return this node's part of cold_bound(), for a time of cold_span
-    [[nodiscard]] std::size_t cold_part(const replica& target) const;
+    [[nodiscard]] std::size_t cold_part(const replica& target,
+                                        base::time_point now) const;
     [[nodiscard]] double cold_rate(const replica& target) const;
     void remove_request(std::uint64_t request);
 
--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -17,6 +17,9 @@
 /// connection fell silent; the platform allows 4 s.
 constexpr std::chrono::milliseconds watch_wait{2500};
 
+/// The same for a copy of another node, which costs no call of the store.
+constexpr std::chrono::milliseconds copy_watch_wait{1000};
+
 /// Wait of the first watch of a source and after a failure. Its answer shows
 /// whether the store was restored meanwhile.
 constexpr std::chrono::milliseconds first_watch_wait{1};
@@ -109,6 +112,7 @@
     {
         this->listing.revision = page->revision;
         this->listing.era = page->era;
+        this->listing_current_at = this->time_of(*page);
     }
     if (this->listing.era != page->era)
     {
@@ -149,6 +153,7 @@
         return;
     }
     this->listed_at = this->runtime.now();
+    this->set_current(this->listing_current_at);
     this->log_unreadable(listed.unreadable);
     const auto era_text = [](ports::store_era era)
     {
@@ -185,7 +190,9 @@
 {
     this->source->watch(
         this->mirror.position(),
-        this->has_answered ? watch_wait : first_watch_wait,
+        !this->has_answered       ? first_watch_wait
+        : this->source->is_copy() ? copy_watch_wait
+                                  : watch_wait,
         [this,
          call_generation = this->generation,
          sent_at = this->runtime.now()](base::result<ports::store_page> page)
@@ -227,8 +234,10 @@
     if (!this->mirror.apply_changes(*page))
     {
         this->list_again();
+        return;
     }
-    else if (has_changes)
+    this->set_current(this->time_of(*page));
+    if (has_changes)
     {
         this->call_later(batch_delay, &store_follower::watch);
     }
@@ -238,6 +247,22 @@
     }
 }
 
+std::optional<time_point>
+store_follower::time_of(const ports::store_page& page) const
+{
+    return page.copy_age ? std::optional(this->runtime.now() - *page.copy_age)
+                         : std::nullopt;
+}
+
+void store_follower::set_current(std::optional<time_point> at)
+{
+    if (at)
+    {
+        this->mirror_current_at =
+            std::max(this->mirror_current_at.value_or(*at), *at);
+    }
+}
+
 void store_follower::on_success()
 {
     this->last_answer = this->runtime.now();
--- a/src/core/relay/store_follower.hpp
+++ b/src/core/relay/store_follower.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,13 @@
         return this->last_answer;
     }
 
+    /// @brief Time up to which the mirror is known to contain all changes of
+    ///        the store; nullopt if it is unknown.
+    [[nodiscard]] const std::optional<base::time_point>& current_at() const
+    {
+        return this->mirror_current_at;
+    }
+
     /// @brief False while calls to the source fail.
     [[nodiscard]] bool is_reachable() const
     {
@@ -66,6 +74,10 @@
     void on_changes(base::time_point sent_at,
                     base::result<ports::store_page> page);
     void on_success();
+    /// @return when the state of a page was that of the store
+    [[nodiscard]] std::optional<base::time_point>
+    time_of(const ports::store_page& page) const;
+    void set_current(std::optional<base::time_point> at);
     /// Records a failed call and makes the next one.
     void on_failure(const base::error& error, void (store_follower::*retry)());
     [[nodiscard]] bool may_have_lapsed() const;
@@ -87,6 +99,9 @@
     base::time_point listed_at{};
     base::time_point next_unreadable_log{};
     base::time_point last_answer{};
+    std::optional<base::time_point> mirror_current_at;
+    /// The same of the listing in progress.
+    std::optional<base::time_point> listing_current_at;
     bool reachable = true;
     bool has_answered = false; ///< since the last failure or switch
 };
--- a/src/ports/metadata_store.hpp
+++ b/src/ports/metadata_store.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <core/base/result.hpp>
+#include <core/base/time.hpp>
 
 namespace hawthornrelay::ports
 {
@@ -65,6 +66,9 @@
     /// Key of the last item, also if it was left out; empty if the last one of
     /// `items` has it.
     std::string last_key{};
+    /// Age of the copy that was read, 0 for the store itself; nullopt if
+    /// unknown.
+    std::optional<core::base::duration> copy_age{};
 
     /// @brief The key after which the next page of the listing begins; empty if
     ///        the page has none.
--- a/tests/relay/test_cold_replicas.cpp
+++ b/tests/relay/test_cold_replicas.cpp
@@ -1,22 +1,31 @@
 // Tests of the bound on cold replicas over all nodes: in any second, a cold
-// replica gets at most its rate x overshoot + slack requests.
+// replica gets at most its rate x overshoot + slack requests. Who may use a
+// part of it, when nodes start, end and lose touch.
 #define BOOST_TEST_MODULE cold_replicas
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <core/base/hash.hpp>
+#include <core/relay/node_directory.hpp>
+#include <core/relay/part_window.hpp>
 #include <core/relay/shared_bound.hpp>
 #include <support/relay_fleet.hpp>
 
 using namespace std::chrono_literals;
 using namespace hawthornrelay::tests::support;
 using hawthornrelay::core::base::hash_of;
+using relay::node_directory;
+using relay::node_record;
 using relay::part_of;
+using relay::part_window;
 using relay::send_result;
 
 namespace
@@ -220,3 +229,293 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+
+constexpr std::chrono::milliseconds step{50};
+constexpr std::chrono::milliseconds span{1250};
+constexpr std::chrono::milliseconds lease_time{4000};
+constexpr std::chrono::milliseconds renew_interval{700};
+
+/// Nodes that register in a store and copy it, without beacons, while they are
+/// killed, started and cut off.
+class registered_fleet
+{
+  public:
+    registered_fleet(std::size_t nodes, unsigned seed) : random(seed)
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+        {
+            this->nodes.push_back({.name = "node-" + std::to_string(i)});
+            this->start(this->nodes.back());
+        }
+    }
+
+    /// Advances by one step and records the parts that are in use.
+    void advance(std::size_t units)
+    {
+        this->now += step;
+        this->expire_leases();
+        for (auto& node : this->nodes)
+        {
+            if (node.directory && !node.is_cut_off)
+            {
+                this->exchange(node);
+            }
+            if (node.directory && node.window.is_open(this->now))
+            {
+                const auto count = node.directory->entry_count(this->now);
+                const auto rank =
+                    node.directory->rank_among_entries("replica", this->now);
+                this->used.push_back({this->now,
+                                      node.name,
+                                      node.starts,
+                                      part_of(units, {count, rank})});
+            }
+        }
+        std::erase_if(this->used,
+                      [this](const use& item)
+                      {
+                          return item.at + span <= this->now;
+                      });
+    }
+
+    /// Kills, starts, cuts off, refuses or reconnects a random node, or all.
+    void disturb()
+    {
+        const bool is_all = this->draw(20) == 0;
+        const auto what = this->draw(4);
+        const auto chosen = this->draw(this->nodes.size());
+        for (std::size_t i = 0; i < this->nodes.size(); ++i)
+        {
+            auto& node = this->nodes[i];
+            if (!is_all && i != chosen)
+            {
+                continue;
+            }
+            if (what == 0)
+            {
+                node.directory.reset();
+            }
+            else if (what == 1)
+            {
+                node.is_cut_off = !node.is_cut_off;
+            }
+            else if (what == 2)
+            {
+                node.is_refused = !node.is_refused;
+            }
+            if (!node.directory && (is_all || this->draw(2) == 0))
+            {
+                this->start(node);
+            }
+        }
+    }
+
+    /// The sum of the parts that were used within one span.
+    [[nodiscard]] std::size_t sum_of_parts() const
+    {
+        std::map<std::pair<std::string, unsigned>, std::size_t> most;
+        for (const auto& item : this->used)
+        {
+            auto& part = most[{item.node, item.starts}];
+            part = std::max(part, item.part);
+        }
+        std::size_t sum = 0;
+        for (const auto& [node, part] : most)
+        {
+            sum += part;
+        }
+        return sum;
+    }
+
+  private:
+    struct fleet_node
+    {
+        std::string name;
+        std::optional<node_directory> directory{}; ///< set while it runs
+        part_window window{};
+        std::set<std::string> listed{}; ///< as its copy of the store says
+        time_point renews_at{};
+        time_point reads_at{};
+        bool is_registered = false; ///< this incarnation
+        bool is_cut_off = false;
+        bool is_refused = false; ///< its calls, while it reads from a node
+        unsigned starts = 0;
+    };
+
+    struct use
+    {
+        time_point at;
+        std::string node;
+        unsigned starts;
+        std::size_t part;
+    };
+
+    static node_record record(const std::string& name)
+    {
+        node_record result;
+        result.name = name;
+        result.incarnation = 1;
+        result.is_entry = true;
+        return result;
+    }
+
+    std::size_t draw(std::size_t below)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, below - 1)(random);
+    }
+
+    void start(fleet_node& node)
+    {
+        node.directory.emplace(record(node.name));
+        node.window = {};
+        node.listed.clear();
+        node.is_registered = false;
+        node.renews_at = this->now + step * static_cast<int>(this->draw(40));
+        node.reads_at = this->now;
+        ++node.starts;
+    }
+
+    void expire_leases()
+    {
+        std::erase_if(this->leases,
+                      [this](const auto& item)
+                      {
+                          return item.second <= this->now;
+                      });
+    }
+
+    /// Renews the lease and reads the store if it is time.
+    void exchange(fleet_node& node)
+    {
+        if (this->now >= node.renews_at && !node.is_refused)
+        {
+            const bool is_new =
+                !node.is_registered || !this->leases.contains(node.name);
+            this->leases[node.name] = this->now + lease_time;
+            is_new ? node.window.on_registered(this->now)
+                   : node.window.on_renewed(this->now);
+            node.is_registered = true;
+            node.renews_at = this->now + renew_interval;
+        }
+        if (this->now < node.reads_at)
+        {
+            return;
+        }
+        // A connection may be silent for as long as a copy may be old.
+        const bool is_late = this->draw(100) == 0;
+        node.reads_at = this->now + (is_late ? 4'400ms : 100ms);
+        std::set<std::string> current;
+        for (const auto& [name, until] : this->leases)
+        {
+            current.insert(name);
+            if (name != node.name && !node.listed.contains(name))
+            {
+                node.directory->on_registered(record(name), this->now);
+            }
+        }
+        for (const auto& name : node.listed)
+        {
+            if (!current.contains(name))
+            {
+                node.directory->on_unregistered(name, this->now);
+            }
+        }
+        node.listed = std::move(current);
+        node.window.on_copy_current(this->now);
+    }
+
+    std::mt19937 random;
+    time_point now{1h};
+    std::vector<fleet_node> nodes;
+    std::map<std::string, time_point> leases;
+    std::vector<use> used;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(windows)
+
+// Guards against: nodes that were killed and have forgotten what they sent, or
+// that do not know each other, use more than the bound together.
+BOOST_AUTO_TEST_CASE(parts_stay_within_the_bound_while_nodes_come_and_go)
+{
+    std::size_t seeds_with_parts = 0;
+    for (unsigned seed = 1; seed <= 200; ++seed)
+    {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            const std::size_t units = 3 + seed % 18;
+            registered_fleet fleet(2 + seed % 9, seed);
+            std::mt19937 random(seed);
+            std::size_t most = 0;
+            for (int i = 0; i < 3000; ++i)
+            {
+                if (random() % 60 == 0)
+                {
+                    fleet.disturb();
+                }
+                fleet.advance(units);
+                most = std::max(most, fleet.sum_of_parts());
+            }
+            BOOST_TEST(most <= units);
+            seeds_with_parts += most > 0 ? 1 : 0;
+        }
+    }
+    // In some, no node is in touch for long enough.
+    BOOST_TEST(seeds_with_parts > 150U);
+}
+
+// Guards against: a part of the bound stays unused in a fleet that is calm.
+BOOST_AUTO_TEST_CASE(a_calm_fleet_uses_the_whole_bound)
+{
+    registered_fleet fleet(8, 1);
+    for (int i = 0; i < 400; ++i)
+    {
+        fleet.advance(6);
+    }
+    BOOST_TEST(fleet.sum_of_parts() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(a_part_may_be_used_while_its_conditions_hold)
+{
+    const time_point start{1h};
+    part_window window;
+    window.on_copy_current(start);
+    BOOST_TEST(!window.is_open(start));
+    window.on_registered(start);
+    const auto renew_until = [&window](time_point from, time_point until)
+    {
+        for (auto at = from; at <= until; at += 1s)
+        {
+            window.on_renewed(at);
+            window.on_copy_current(at);
+        }
+    };
+    renew_until(start, start + 6s);
+    BOOST_TEST(!window.is_open(start + 5s));
+    BOOST_TEST(window.is_open(start + 6s));
+    // The store is away, and back with the lease still there.
+    BOOST_TEST(window.is_open(start + 10s));
+    BOOST_TEST(!window.is_open(start + 11s));
+    renew_until(start + 13s, start + 14s);
+    BOOST_TEST(window.is_open(start + 14s));
+    // The lease has lapsed.
+    window.on_registered(start + 20s);
+    renew_until(start + 21s, start + 26s);
+    BOOST_TEST(!window.is_open(start + 25s));
+    BOOST_TEST(window.is_open(start + 26s));
+    // The copy does not follow any more.
+    window.on_renewed(start + 30s);
+    BOOST_TEST(window.is_open(start + 30s));
+    window.on_renewed(start + 31s);
+    BOOST_TEST(!window.is_open(start + 31s));
+    window.on_copy_current(start + 29s);
+    BOOST_TEST(window.is_open(start + 31s));
+    window.on_ended();
+    BOOST_TEST(!window.is_open(start + 31s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/test_peer_feed.cpp
+++ b/tests/relay/test_peer_feed.cpp
@@ -108,7 +108,7 @@
                                i + 1});
     }
     source.mirror.apply_listing(items, false);
-    adapters::relay::peer_feed feed(runtime, source.mirror);
+    adapters::relay::peer_feed feed(runtime, source.mirror, source.follower);
     adapters::http::server_handlers handlers;
     handlers.on_request = [&](const adapters::http::request& message,
                               const adapters::http::responder& respond)
@@ -129,6 +129,8 @@
     const auto copied = follower.mirror.listing();
     BOOST_TEST_REQUIRE(copied.items.size() == 12U);
     BOOST_TEST((copied.items.front().value == items.items.front().value));
+    // The source has not read the store, so that no age is known.
+    BOOST_TEST(!follower.follower.current_at().has_value());
     follower.follower.stop();
 }
 
--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -232,6 +232,17 @@
                               {"born", 7}}));
     }
 
+    /// Registers a replica that has started again at its address and is cold.
+    void register_cold_replica(const std::string& id,
+                               std::chrono::milliseconds warm_up)
+    {
+        auto record =
+            json::parse(this->store.value_of("servers/" + id)).as_object();
+        record["warmupRemainingMs"] = warm_up.count();
+        record["born"] = 8;
+        this->store.write("servers/" + id, json::serialize(record));
+    }
+
     static std::string configuration(std::uint64_t version)
     {
         return json::serialize(json::object{
@@ -796,6 +807,51 @@
     BOOST_TEST(json::parse(page->body).at("addrs").as_array().size() == 2U);
 }
 
+// Guards against: nodes that are killed and started again have forgotten what
+// they sent to a cold replica and send as much again.
+BOOST_AUTO_TEST_CASE(restarted_nodes_send_a_cold_replica_no_more)
+{
+    relay_cluster cluster(0);
+    auto config = json::parse(relay_cluster::configuration(2)).as_object();
+    config["services"].as_array()[0].as_object()["warmupPerS"] = 1.0;
+    cluster.store.write("op/config", json::serialize(config));
+    cluster.restartable_io = std::make_unique<boost::asio::io_context>();
+    for (const auto* name : {"node-0", "node-1"})
+    {
+        cluster.settings.push_back(cluster.make_settings(name));
+    }
+    const auto start = [&cluster]
+    {
+        for (const auto& item : cluster.settings)
+        {
+            cluster.nodes.push_back(
+                relay_cluster::start_node(*cluster.restartable_io, item));
+        }
+    };
+    start();
+    cluster.run_for(8s);
+    cluster.register_cold_replica("r-1", 5000ms);
+    cluster.run_for(100ms);
+    const auto send_all = [&cluster]
+    {
+        for (int i = 0; i < 12; ++i)
+        {
+            cluster.send_query("/book/x", i % 2);
+        }
+        cluster.run_for(100ms);
+    };
+    send_all();
+    // 1 x 1.5 + 5, in whole requests.
+    constexpr std::size_t bound = 6;
+    BOOST_TEST(cluster.arrivals == bound);
+    cluster.nodes.clear();
+    cluster.restartable_io = std::make_unique<boost::asio::io_context>();
+    start();
+    cluster.run_for(300ms);
+    send_all();
+    BOOST_TEST(cluster.arrivals == bound);
+}
+
 // A node keeps nothing over a restart, so a restarted one is a new one.
 BOOST_AUTO_TEST_CASE(a_replica_that_left_during_a_restart_gets_nothing)
 {
