Tests: an answer with status 000 reaches no caller

MIXED, as seen on other systems: a replica in trouble answers with status 000. Callers of this system got no such answer, but until their connection was closed; the check of the status since then makes it a broken attempt. No test covered the whole path. Now one does, for a lookup, a search and a booking, also with X-Not-Executed: all are answered 502.

--- a/tests/relay/test_relay_process.cpp
+++ b/tests/relay/test_relay_process.cpp
@@ -617,6 +617,32 @@
     BOOST_TEST(cluster.count(502) == 2U);
 }
 
+// Guards against: a replica answers with a status that is none, and the caller
+// gets it, or a promise that its booking has not run.
+BOOST_AUTO_TEST_CASE(an_answer_with_status_000_reaches_no_caller)
+{
+    for (const auto* line : {"", "X-Not-Executed: 1\r\n"})
+    {
+        relay_cluster cluster;
+        cluster.store.remove("servers/r-1");
+        const raw_server replica(
+            cluster.io,
+            fmt::format("HTTP/1.1 000 No\r\nX-Server-Stamp: s\r\n{}"
+                        "Content-Length: 3\r\n\r\nold",
+                        line),
+            false);
+        cluster.register_replica("r-2", replica.endpoint().port());
+        cluster.io.run_for(500ms);
+        for (const auto* target : {"/one/x", "/all/x", "/book/x"})
+        {
+            cluster.send_query(target);
+        }
+        cluster.io.run_for(1200ms);
+        BOOST_TEST(replica.connections >= 3U);
+        BOOST_TEST(cluster.count(502) == 3U);
+    }
+}
+
 // Callers keep an address for its time to live, so it must end before a
 // stopping node closes the connections that it has no request on.
 BOOST_AUTO_TEST_CASE(addresses_expire_before_a_stopping_node_closes)
