Store follower: short watches of copies only where a service has a cold rate

The age of a copy matters only to the bound on cold replicas; elsewhere watches between nodes wait for 2.5 s as before, and cost no more traffic.

--- a/src/adapters/relay/relay_node.cpp
+++ b/src/adapters/relay/relay_node.cpp
@@ -523,8 +523,10 @@
     const auto count = nodes.entry_count(this->runtime.now());
     const bool is_entry = nodes.self().is_entry;
     this->engine.set_division(count, is_entry);
-    const bool has_cold_part =
-        is_entry && this->window.is_open(this->runtime.now());
+    const bool has_cold_bounds = this->engine.has_cold_bounds();
+    this->follower.set_fresh(is_entry && has_cold_bounds);
+    const bool has_cold_part = has_cold_bounds && is_entry &&
+                               this->window.is_open(this->runtime.now());
     if (std::exchange(this->had_cold_part, has_cold_part) != has_cold_part)
     {
         this->log.write(has_cold_part ? log_event::cold_part_begun
--- a/src/core/relay/request_engine.cpp
+++ b/src/core/relay/request_engine.cpp
@@ -122,6 +122,17 @@
                   });
 }
 
+bool request_engine::has_cold_bounds() const
+{
+    return this->config != nullptr &&
+           std::any_of(this->config->services.begin(),
+                       this->config->services.end(),
+                       [](const auto& item)
+                       {
+                           return item.second.cold_requests_per_second > 0;
+                       });
+}
+
 void request_engine::set_bounds(const engine_settings& changed)
 {
     this->settings.cold_overshoot = changed.cold_overshoot;
--- a/src/core/relay/request_engine.hpp
+++ b/src/core/relay/request_engine.hpp
@@ -107,6 +107,9 @@
         return this->config;
     }
 
+    /// @brief True if the configuration bounds sends to cold replicas.
+    [[nodiscard]] bool has_cold_bounds() const;
+
     /// @brief Changes the bounds that all nodes share.
     /// @param changed the settings; only the bounds are read
     void set_bounds(const engine_settings& changed);
--- a/src/core/relay/store_follower.cpp
+++ b/src/core/relay/store_follower.cpp
@@ -17,7 +17,7 @@
 /// connection fell silent; the platform allows 4 s.
 constexpr std::chrono::milliseconds watch_wait{2500};
 
-/// The same for a copy of another node, which costs no call of the store.
+/// The same for a copy of another node if its age matters.
 constexpr std::chrono::milliseconds copy_watch_wait{1000};
 
 /// Wait of the first watch of a source and after a failure. Its answer shows
@@ -188,11 +188,12 @@
 
 void store_follower::watch()
 {
+    const auto wait = this->is_fresh_needed && this->source->is_copy()
+                          ? copy_watch_wait
+                          : watch_wait;
     this->source->watch(
         this->mirror.position(),
-        !this->has_answered       ? first_watch_wait
-        : this->source->is_copy() ? copy_watch_wait
-                                  : watch_wait,
+        this->has_answered ? wait : first_watch_wait,
         [this,
          call_generation = this->generation,
          sent_at = this->runtime.now()](base::result<ports::store_page> page)
--- a/src/core/relay/store_follower.hpp
+++ b/src/core/relay/store_follower.hpp
@@ -49,6 +49,13 @@
         return this->last_answer;
     }
 
+    /// @brief Reads copies of other nodes more often, so that current_at() is
+    ///        more recent.
+    void set_fresh(bool is_needed)
+    {
+        this->is_fresh_needed = is_needed;
+    }
+
     /// @brief Time up to which the mirror is known to contain all changes of
     ///        the store; nullopt if it is unknown.
     [[nodiscard]] const std::optional<base::time_point>& current_at() const
@@ -104,6 +111,7 @@
     std::optional<base::time_point> listing_current_at;
     bool reachable = true;
     bool has_answered = false; ///< since the last failure or switch
+    bool is_fresh_needed = false;
 };
 
 } // namespace hawthornrelay::core::relay
