--- a/review/standin-3/deployment.hpp
+++ b/review/standin-3/deployment.hpp
@@ -1,7 +1,6 @@
 // A small deployment of the rig: zones, nodes, replicas and a steady load.
 #pragma once
 
-#include <link.hpp>
 #include <rig.hpp>
 
 namespace rig
@@ -13,8 +12,7 @@
   public:
     explicit deployment(recorder& record)
         : record(record), prefix(free_prefix(node_count)),
-          platform(io, "127.0.0.1"),
-          to_platform(io, "127.0.0.1", platform.address()), callers(io)
+          platform(io, "127.0.0.1"), callers(io)
     {
     }
 
@@ -35,17 +33,17 @@
             const auto ip = fmt::format("{}.{}", this->prefix, i + 1);
             const auto zone = this->zones[i % this->zones.size()];
             const auto name = fmt::format("frontend-{}-{}", zone, i / 4 + 1);
-            this->nodes.push_back(std::make_unique<node>(
-                name,
-                zone,
-                ip,
-                this->folder.path,
-                settings_of(name,
-                            zone,
-                            ip,
-                            this->zones,
-                            seeds,
-                            this->to_platform.address())));
+            this->nodes.push_back(
+                std::make_unique<node>(name,
+                                       zone,
+                                       ip,
+                                       this->folder.path,
+                                       settings_of(name,
+                                                   zone,
+                                                   ip,
+                                                   this->zones,
+                                                   seeds,
+                                                   this->platform.address())));
             if (!this->nodes.back()->start())
             {
                 return false;
@@ -108,7 +106,6 @@
     std::string prefix;
     temporary_folder folder;
     store platform;
-    link to_platform; ///< between the nodes and the store
     client callers;
     std::vector<std::string> zones{"zone-a", "zone-b", "zone-c", "zone-d"};
     std::vector<std::unique_ptr<replica>> replicas;
--- a/review/standin-3/evacuate.cpp
+++ b/review/standin-3/evacuate.cpp
@@ -174,6 +174,7 @@
 
 int main(int argc, char** argv)
 {
+    rig::end_with_signals();
     rig::recorder record(argc > 1 ? argv[1] : "record.txt");
     return run(record);
 }
--- a/review/standin-3/storm.cpp
+++ b/review/standin-3/foreign.cpp
@@ -7,19 +7,14 @@
 
 using namespace rig;
 
-/// Largest value of the store, as the settings state it.
-constexpr std::size_t max_value_bytes = 1'048'576;
-
 constexpr milliseconds config_apply{3000};
 constexpr milliseconds stability_window{4000};
 
-/// A change each 0.08 s for 2 s, as on the smallest sites.
-constexpr milliseconds storm_gap{80};
-constexpr int storm_versions = 25;
-
-constexpr int added_routes = 4300;
+/// Entries in one transaction of another writer, and their size. A transaction
+/// may have 32 entries, and a value `maxValueBytes` (1,048,576).
+constexpr int foreign_entries = 8;
+constexpr std::size_t foreign_bytes = 1'000'000;
 
-/// A configuration to which many routes were added.
 std::string configuration(std::uint64_t version, const std::string& service)
 {
     json::array list;
@@ -36,11 +31,6 @@
                                     {"maxAttempts", 2}});
     };
     add("lookup", service);
-    for (int i = 0; i < added_routes; ++i)
-    {
-        add(fmt::format("office-{:05}/desk-{:04}/orders", i, i % 97),
-            i % 2 == 0 ? "desk-one" : "desk-two");
-    }
     json::array services;
     for (const char* name : {"desk-one", "desk-two"})
     {
@@ -64,17 +54,10 @@
 int run(recorder& record)
 {
     deployment site(record);
-    const auto first = configuration(7, "desk-one");
-    record.say(
-        "configuration of {} bytes, {} at most", first.size(), max_value_bytes);
-    if (first.size() > max_value_bytes)
-    {
-        return not_run;
-    }
-    site.platform.put("op/config", first);
+    site.platform.put("op/config", configuration(7, "desk-one"));
     site.platform.on_watch = [&record](std::size_t events, std::size_t bytes)
     {
-        if (bytes > max_value_bytes)
+        if (bytes > foreign_bytes)
         {
             record.line("the store answers a watch: {} events, {} bytes",
                         events,
@@ -135,31 +118,49 @@
     };
     ask_all(false);
     site.run(milliseconds(1'000));
-    const int count = has_trouble() ? storm_versions : 1;
-    std::vector<std::string> versions;
-    for (int i = 1; i <= count; ++i)
-    {
-        versions.push_back(
-            configuration(7 + 3 * i, i == count ? "desk-two" : "desk-one"));
-    }
     if (has_trouble())
     {
-        record.say("{} connections to the store fall silent",
-                   site.to_platform.silence());
-    }
-    for (std::size_t i = 0; i < versions.size(); ++i)
-    {
-        if (i > 0)
+        std::mt19937 random(47);
+        json::array puts;
+        for (int i = 0; i < foreign_entries; ++i)
+        {
+            std::string bytes(foreign_bytes, '\0');
+            for (auto& item : bytes)
+            {
+                item = static_cast<char>(random());
+            }
+            puts.push_back(json::object{{"key", fmt::format("servers/x-{}", i)},
+                                        {"value", absl::Base64Escape(bytes)},
+                                        {"leaseId", 0}});
+        }
+        http::request message;
+        message.method = "POST";
+        message.target = "/v1/kv-txn";
+        message.body = json::serialize(json::object{{"expected", json::array{}},
+                                                    {"puts", std::move(puts)},
+                                                    {"remove", json::array{}}});
+        const auto writer =
+            http::connection::create(site.io, site.platform.address(), nullptr);
+        unsigned status = 0;
+        writer->send(std::move(message),
+                     std::chrono::seconds(2),
+                     [&status](const auto& answer)
+                     {
+                         status = answer ? answer->status : 0;
+                     });
+        site.run(milliseconds(2'000));
+        writer->close();
+        record.say("another writer puts {} entries of {} bytes: {}",
+                   foreign_entries,
+                   foreign_bytes,
+                   status);
+        if (status != 200)
         {
-            site.run(storm_gap);
+            return not_run;
         }
-        site.platform.put("op/config", versions[i]);
-        record.line("version {} of the configuration is acknowledged",
-                    7 + 3 * (i + 1));
     }
-    record.say("the last of {} versions is acknowledged; it moves /lookup/ to "
-               "desk-two",
-               count);
+    site.platform.put("op/config", configuration(10, "desk-two"));
+    record.say("version 10 is acknowledged; it moves /lookup/ to desk-two");
     // By then the machines have been in touch for long, and the version is due.
     site.run(std::max(config_apply, stability_window) + milliseconds(1000));
     for (int i = 0; i < 20; ++i)
@@ -192,6 +193,7 @@
 
 int main(int argc, char** argv)
 {
+    rig::end_with_signals();
     rig::recorder record(argc > 1 ? argv[1] : "record.txt");
     return run(record);
 }
--- a/review/standin-3/rig.hpp
+++ b/review/standin-3/rig.hpp
@@ -120,7 +120,7 @@
                          });
         };
         http::server_limits limits;
-        limits.body_bytes = 4U << 20U;
+        limits.body_bytes = 64U << 20U;
         this->listener = std::move(
             *http::server::listen(io, ip, 0, std::move(handlers), limits));
         this->expire();
@@ -747,6 +747,28 @@
     clock::time_point cold_until{};
 };
 
+/// The processes that were started, for the end by a signal.
+inline std::set<pid_t>& started_processes()
+{
+    static std::set<pid_t> processes;
+    return processes;
+}
+
+/// Ends the processes that were started if this one is ended by a signal.
+inline void end_with_signals()
+{
+    const auto end = [](int)
+    {
+        for (const auto pid : started_processes())
+        {
+            ::kill(pid, SIGKILL);
+        }
+        ::_exit(not_run);
+    };
+    std::signal(SIGTERM, end);
+    std::signal(SIGINT, end);
+}
+
 /// A relay node: a process of the program of the deploy file.
 class node
 {
@@ -792,6 +814,10 @@
                                             arguments,
                                             environment) == 0;
         posix_spawn_file_actions_destroy(&actions);
+        if (is_started)
+        {
+            started_processes().insert(this->pid);
+        }
         return is_started;
     }
 
@@ -809,6 +835,7 @@
         if (this->pid > 0 &&
             ::waitpid(this->pid, &status, WNOHANG) == this->pid)
         {
+            started_processes().erase(this->pid);
             this->pid = 0;
         }
         return this->pid <= 0;
@@ -820,6 +847,7 @@
         {
             ::kill(this->pid, SIGKILL);
             ::waitpid(this->pid, nullptr, 0);
+            started_processes().erase(this->pid);
             this->pid = 0;
         }
     }
